--- /dev/null
+++ b/cmd/greengageweir/control.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/platform"
+	"greengageweir/internal/control/hub"
+	"greengageweir/internal/control/operatorapi"
+	"greengageweir/internal/control/registry"
+	"greengageweir/internal/control/serve"
+	"greengageweir/internal/control/steward"
+	"greengageweir/internal/duty/cli"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+	"greengageweir/internal/duty/settings"
+	"greengageweir/internal/fleet/machine"
+	"greengageweir/internal/link/peer"
+	"greengageweir/internal/state/node"
+	"greengageweir/internal/state/replica"
+	"greengageweir/internal/state/wal"
+)
+
+// controlCommand runs a control process.
+type controlCommand struct {
+	commonFlags
+	DataDir   string        `long:"data-dir" env:"WEIR_DATA_DIR" description:"Folder for the replicated log"`
+	Members   []string      `long:"member" env:"WEIR_MEMBERS" env-delim:"," description:"Control process as id=IP:port, this one too; repeat for each"`
+	Platforms []string      `long:"platform" env:"WEIR_PLATFORMS" env-delim:"," description:"Platform address as zone=IP:port, zone * for all others"`
+	Heartbeat time.Duration `long:"heartbeat" env:"WEIR_HEARTBEAT" default:"50ms" description:"Time between a leader's heartbeats"`
+	Election  time.Duration `long:"election" env:"WEIR_ELECTION" default:"500ms" description:"Shortest silence of a leader before an election"`
+
+	members   map[string]string
+	platforms map[weir.Zone]string
+}
+
+func (cc *controlCommand) check() error {
+	var ck settings.Checks
+	cc.commonFlags.check(&ck)
+	ck.Need("--data-dir", cc.DataDir != "")
+	ck.Range("--heartbeat", cc.Heartbeat, 10*time.Millisecond, 5*time.Second)
+	ck.Range("--election", cc.Election, 4*cc.Heartbeat, time.Minute)
+	cc.members = map[string]string{}
+	for _, item := range split(cc.Members) {
+		id, addr := ck.Pair("--member", item)
+		ck.Address("--member", addr)
+		cc.members[id] = addr
+	}
+	ck.Need("--member "+cc.ID+"=...", cc.members[cc.ID] != "")
+	cc.platforms = map[weir.Zone]string{}
+	for _, item := range split(cc.Platforms) {
+		zone, addr := ck.Pair("--platform", item)
+		ck.Address("--platform", addr)
+		cc.platforms[weir.Zone(zone)] = addr
+	}
+	return ck.Err()
+}
+
+// Execute implements flags.Commander.
+func (cc *controlCommand) Execute([]string) error {
+	if err := cc.check(); err != nil {
+		return err
+	}
+	kt, err := cc.open("control")
+	if err != nil {
+		return err
+	}
+	ctx := stopContext(kt.logger, func() string { return "nothing that is not synced" })
+	_ = kt.logger.Log("level", "info", "msg", "started", "version", cli.Version, "zone", cc.Zone)
+	return run.All(ctx, kt.logger, cc.build(kt)...)
+}
+
+// controlState is a control process's part of the state dump.
+type controlState struct {
+	Log         replica.Status       `json:"log"`
+	Applied     uint64               `json:"applied"`
+	Number      uint64               `json:"number"`
+	Subscribers int                  `json:"subscribers"`
+	Pools       []machine.PoolStatus `json:"pools"`
+}
+
+func (cc *controlCommand) build(kt kit) []weir.Step {
+	clk := clock.System{}
+	self := peer.Identity{ID: cc.ID, Role: "control", Zone: cc.Zone}
+	hb := hub.New()
+	mc := machine.New(hb.Publish, hb.Reset)
+	hb.View = mc.View
+	rg := registry.New()
+	links := &serve.Links{Self: self, Token: kt.token, Addrs: cc.members, Logger: kt.logger}
+	nd := &node.Node{
+		ID: cc.ID, Members: cc.memberIDs(), Dir: cc.DataDir, Machine: mc, Send: links.Send, Clock: clk,
+		Logger: kt.logger, Heartbeat: cc.Heartbeat, Election: cc.Election,
+	}
+	sv := &serve.Service{Self: cc.ID, Node: nd, Machine: mc, Hub: hb, Registry: rg, Links: links, Clock: clk}
+	api := &operatorapi.API{Service: sv}
+	dump := func() any {
+		st := controlState{Log: nd.Status(), Subscribers: hb.Subscribers()}
+		mc.Read(func(rd machine.Reader) { st.Applied, st.Number, st.Pools = rd.Index(), rd.Number(), rd.Pools() })
+		return st
+	}
+	ready := func() error {
+		if nd.Status().Leader == "" {
+			return &serve.Error{Op: "ready", Kind: serve.KindNoLeader}
+		}
+		return nil
+	}
+	return []weir.Step{
+		links,
+		nd,
+		&peer.Server{Addr: cc.PeerAddr, Token: kt.token, Handle: sv.Handle, Gone: hb.Gone, Logger: kt.logger},
+		&steward.Steward{
+			Machine: mc, Registry: rg, Platform: &platform.Client{Addrs: cc.platforms}, Clock: clk,
+			Logger: kt.logger, IsLeader: sv.Leads, Propose: sv.Propose,
+		},
+		&ops.Server{
+			Addr: cc.OpsAddr, Operators: kt.operators, Level: kt.level, Version: cli.Version,
+			Dump: dump, Ready: ready, Routes: api.Routes,
+		},
+	}
+}
+
+func (cc *controlCommand) memberIDs() []string {
+	ids := make([]string, 0, len(cc.members))
+	for id := range cc.members {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// formatCommand prepares a data folder, once, when a cluster is created. A
+// control process that finds an empty folder is a learner instead.
+type formatCommand struct {
+	DataDir string `long:"data-dir" env:"WEIR_DATA_DIR" required:"true" description:"Folder for the replicated log"`
+}
+
+// Execute implements flags.Commander.
+func (fc *formatCommand) Execute([]string) error { return wal.Format(fc.DataDir, false) }
--- /dev/null
+++ b/cmd/greengageweir/main.go
@@ -0,0 +1,17 @@
+// Command greengageweir runs the daemons of the fleet: entry instances and
+// control processes.
+package main
+
+import (
+	"os"
+
+	"greengageweir/internal/duty/cli"
+)
+
+func main() {
+	os.Exit(cli.Run("greengageweir", "Fleet capacity and maintenance manager: its daemons.", []cli.Command{
+		{Name: "entry", Short: "Run an entry instance", Data: &entryCommand{}},
+		{Name: "control", Short: "Run a control process", Data: &controlCommand{}},
+		{Name: "control-format", Short: "Prepare the data folder of a new cluster's member", Data: &formatCommand{}},
+	}))
+}
--- /dev/null
+++ b/cmd/weirctl/main.go
@@ -0,0 +1,46 @@
+// Command weirctl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"greengageweir/internal/duty/cli"
+)
+
+func main() {
+	os.Exit(cli.Run("weirctl", "Operators' client of greengageweir.", []cli.Command{
+		{Name: "config", Short: "Check, show and change the fleet's configuration", Sub: []cli.Command{
+			{Name: "init", Short: "Write an annotated sample configuration", Data: &configInit{}},
+			{Name: "check", Short: "Check a base file and its overlays", Data: &configCheck{}},
+			{Name: "schema", Short: "Print the JSON Schema of the files", Data: &configSchema{}},
+			{Name: "diff", Short: "Show what applying the files would change", Data: &configDiff{}},
+			{Name: "render", Short: "Show the configuration as one site sees it", Data: &configRender{}},
+			{Name: "apply", Short: "Put the files in force", Data: &configApply{}},
+			{Name: "status", Short: "Show the number in force at each process", Data: &configStatus{}},
+			{Name: "history", Short: "Show the last changes", Data: &configHistory{}},
+		}},
+		{Name: "wave", Short: "Run maintenance waves", Sub: []cli.Command{
+			{Name: "start", Short: "Create a wave and start it", Data: &waveStart{}},
+			{Name: "list", Short: "Show waves and their progress", Data: &waveList{}},
+			{Name: "pause", Short: "Pause a wave", Data: &waveSet{action: "pause"}},
+			{Name: "resume", Short: "Resume a paused wave", Data: &waveSet{action: "resume"}},
+			{Name: "abort", Short: "Abort a wave", Data: &waveSet{action: "abort"}},
+		}},
+		{Name: "pool", Short: "Show pools", Sub: []cli.Command{
+			{Name: "list", Short: "Show sizes, availability and budgets", Data: &poolList{}},
+		}},
+		{Name: "instance", Short: "Show and move instances", Sub: []cli.Command{
+			{Name: "list", Short: "Show instances, their pools and phases", Data: &instanceList{}},
+			{Name: "move", Short: "Move an instance to another pool", Data: &instanceMove{}},
+			{Name: "abandon", Short: "Take back a drain that has not completed", Data: &instanceAbandon{}},
+		}},
+		{Name: "process", Short: "Manage the list of entry instances", Sub: []cli.Command{
+			{Name: "forget", Short: "Forget an entry instance that is gone for good", Data: &processForget{}},
+		}},
+		{Name: "usage", Short: "Show settled usage", Data: &usageCommand{}},
+		{Name: "state", Short: "Inspect one process", Sub: []cli.Command{
+			{Name: "dump", Short: "Print the state of a process", Data: &stateDump{}},
+			{Name: "log-level", Short: "Change the log level of a process", Data: &stateLevel{}},
+		}},
+	}))
+}
--- /dev/null
+++ b/cmd/weirstandin/main.go
@@ -0,0 +1,18 @@
+// Command weirstandin runs small stand-ins for development, tests and the
+// demo: workers with their platform, callers, and the comparison of what was
+// told with what ran.
+package main
+
+import (
+	"os"
+
+	"greengageweir/internal/duty/cli"
+)
+
+func main() {
+	os.Exit(cli.Run("weirstandin", "Stand-ins for workers, platform and callers.", []cli.Command{
+		{Name: "workers", Short: "Run the workers of one site and their platform", Data: &workersCommand{}},
+		{Name: "load", Short: "Send a mix of bookings and reads and record the answers", Data: &loadCommand{}},
+		{Name: "verify", Short: "Compare answers and usage with what really ran", Data: &verifyCommand{}},
+	}))
+}
--- /dev/null
+++ b/internal/config/file/file.go
@@ -0,0 +1,300 @@
+// Package file reads a fleet's configuration: one base file and one overlay
+// per site. Reading is strict, and all problems are reported at once, each
+// with file, line and path.
+//
+// Usage:
+//
+//	cfg, err := file.Load("base.yaml", []string{"shyambazar.yaml"})
+//	var er *file.Error
+//	errors.As(err, &er) // er.Problems
+package file
+
+import (
+	_ "embed" // the annotated sample of "config init" and the schema
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+)
+
+// Schema describes the keys of both kinds of files as JSON Schema.
+//
+//go:embed schema.json
+var Schema string
+
+// SampleBase is the annotated base file that "config init" writes.
+//
+//go:embed sample_base.yaml
+var SampleBase string
+
+// SampleOverlay is the annotated overlay that "config init" writes.
+//
+//go:embed sample_overlay.yaml
+var SampleOverlay string
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindInvalid says that the files hold problems.
+const KindInvalid Kind = "configuration is not valid"
+
+// Error lists everything that is wrong.
+type Error struct {
+	Op       string
+	Kind     Kind
+	Problems []model.Problem
+}
+
+// Error implements error with one line a problem.
+func (er *Error) Error() string {
+	lines := []string{fmt.Sprintf("%s: %s: %d problems", er.Op, er.Kind, len(er.Problems))}
+	for _, pr := range er.Problems {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", pr.File, pr.Line, pr.Path, pr.Message))
+	}
+	return strings.Join(lines, "\n")
+}
+
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+	defaultQueue       = 64
+	defaultTimeout     = 2 * time.Second
+	defaultShare       = 10
+	maxCount           = 1_000_000
+	maxTimeout         = 10 * time.Minute
+)
+
+// loader merges the files into one configuration.
+type loader struct {
+	ps  problems
+	cfg model.Config
+	// seen maps an item to the place that declared it.
+	seen map[string]string
+	// budgets maps a pool to the node of its budget, for located errors.
+	budgets map[weir.PoolName]*object
+}
+
+// Load reads and checks a base file and its overlays.
+func Load(base string, overlays []string) (model.Config, error) {
+	ld := &loader{seen: map[string]string{}, budgets: map[weir.PoolName]*object{}}
+	ld.cfg = model.Config{
+		Sites: map[weir.Zone]model.Site{}, Services: map[weir.ServiceName]model.Service{},
+		Pools: map[weir.PoolName]model.Pool{}, Teams: map[weir.TeamName]model.Team{},
+		Instances: map[weir.InstanceID]model.Instance{},
+	}
+	if ob := ld.open(base); ob != nil {
+		ld.readBase(ob)
+	}
+	sort.Strings(overlays)
+	for _, path := range overlays {
+		if ob := ld.open(path); ob != nil {
+			ld.readOverlay(ob)
+		}
+	}
+	ld.checkBudgets()
+	if len(ld.ps.list) > 0 {
+		return model.Config{}, &Error{Op: "load " + base, Kind: KindInvalid, Problems: ld.ps.list}
+	}
+	return ld.cfg, nil
+}
+
+// LoadFolder reads base.yaml and every file of the folder overlays.
+func LoadFolder(dir string) (model.Config, error) {
+	overlays, err := filepath.Glob(filepath.Join(dir, "overlays", "*.yaml"))
+	if err != nil {
+		return model.Config{}, err
+	}
+	return Load(filepath.Join(dir, "base.yaml"), overlays)
+}
+
+func (ld *loader) open(path string) *object {
+	body, err := os.ReadFile(filepath.Clean(path))
+	if err != nil {
+		ld.ps.add(path, nil, "", "cannot read: %v", err)
+		return nil
+	}
+	var doc yaml.Node
+	if err := yaml.Unmarshal(body, &doc); err != nil {
+		ld.ps.add(path, &yaml.Node{Line: yamlLine(err)}, "", "not YAML: %v", err)
+		return nil
+	}
+	if len(doc.Content) == 0 {
+		ld.ps.add(path, nil, "", "file is empty")
+		return nil
+	}
+	return newObject(&ld.ps, path, "", doc.Content[0])
+}
+
+func yamlLine(err error) int {
+	line := 0
+	_, _ = fmt.Sscanf(err.Error(), "yaml: line %d:", &line)
+	return line
+}
+
+// once reports an item that was declared before.
+func (ld *loader) once(ob *object, what, name string) bool {
+	if name == "" {
+		return false
+	}
+	key := what + " " + name
+	place := fmt.Sprintf("%s:%d", ob.file, ob.node.Line)
+	if first, ok := ld.seen[key]; ok {
+		ob.fail("name", "%s is declared twice, first at %s", key, first)
+		return false
+	}
+	ld.seen[key] = place
+	return true
+}
+
+func (ld *loader) readBase(ob *object) {
+	ld.cfg.Name = ob.name("name")
+	ld.readLimits(ob.child("limits"))
+	for _, it := range ob.objects("sites") {
+		name := it.name("name")
+		if ld.once(it, "site", name) {
+			ld.cfg.Sites[weir.Zone(name)] = model.Site{Name: weir.Zone(name)}
+		}
+		it.finish()
+	}
+	for _, it := range ob.objects("teams") {
+		team := model.Team{Name: weir.TeamName(it.name("name")), QuotaSlots: it.integer("quotaSlots", defaultSlots, 1, maxCount)}
+		if ld.once(it, "team", string(team.Name)) {
+			ld.cfg.Teams[team.Name] = team
+		}
+		it.finish()
+	}
+	for _, it := range ob.objects("services") {
+		svc := readService(it, model.Service{QueueLength: defaultQueue, Timeout: model.Duration(defaultTimeout), DeferrableShare: defaultShare})
+		if ld.once(it, "service", string(svc.Name)) {
+			ld.cfg.Services[svc.Name] = svc
+		}
+		it.finish()
+	}
+	for _, it := range ob.objects("pools") {
+		ld.readPool(it)
+	}
+	ob.finish()
+}
+
+func (ld *loader) readLimits(ob *object) {
+	ld.cfg.Limits = model.Limits{SlotsPerInstance: defaultSlots, ConnectionsPerInstance: defaultConnections}
+	if ob == nil {
+		return
+	}
+	ld.cfg.Limits.SlotsPerInstance = ob.integer("slotsPerInstance", defaultSlots, 1, 1024)
+	ld.cfg.Limits.ConnectionsPerInstance = ob.integer("connectionsPerInstance", defaultConnections, 1, 65536)
+	if ld.cfg.Limits.ConnectionsPerInstance < ld.cfg.Limits.SlotsPerInstance {
+		ob.fail("connectionsPerInstance", "fewer connections than slots")
+	}
+	ob.finish()
+}
+
+// readService reads a service; keys that are missing keep what def holds.
+func readService(ob *object, def model.Service) model.Service {
+	def.Name = weir.ServiceName(ob.name("name"))
+	def.QueueLength = ob.integer("queueLength", def.QueueLength, 0, maxCount)
+	def.Timeout = model.Duration(ob.duration("timeout", time.Duration(def.Timeout), time.Millisecond, maxTimeout))
+	def.DeferrableShare = ob.integer("deferrableShare", def.DeferrableShare, 0, 100)
+	return def
+}
+
+func (ld *loader) readPool(ob *object) {
+	pol := model.Pool{
+		Name:         weir.PoolName(ob.name("name")),
+		Service:      weir.ServiceName(ob.name("service")),
+		MinAvailable: ob.integer("minAvailable", 0, 0, maxCount),
+		Spare:        ob.boolean("spare"),
+	}
+	ob.finish()
+	if !ld.once(ob, "pool", string(pol.Name)) {
+		return
+	}
+	if _, ok := ld.cfg.Services[pol.Service]; !ok && pol.Service != "" {
+		ob.fail("service", "no service is named %s", pol.Service)
+	}
+	ld.cfg.Pools[pol.Name] = pol
+	ld.budgets[pol.Name] = ob
+}
+
+func (ld *loader) readOverlay(ob *object) {
+	site := weir.Zone(ob.name("site"))
+	st, known := ld.cfg.Sites[site]
+	if !known && site != "" {
+		ob.fail("site", "overlay for an unknown site %s", site)
+	}
+	if first, ok := ld.seen["overlay "+string(site)]; ok {
+		ob.fail("site", "second overlay for %s, first in %s", site, first)
+	}
+	ld.seen["overlay "+string(site)] = ob.file
+	for _, it := range ob.objects("services") {
+		name := weir.ServiceName(it.name("name"))
+		base, ok := ld.cfg.Services[name]
+		if !ok {
+			it.fail("name", "no service is named %s", name)
+		}
+		if st.Services == nil {
+			st.Services = map[weir.ServiceName]model.Service{}
+		}
+		st.Services[name] = readService(it, base)
+		it.finish()
+	}
+	for _, it := range ob.objects("instances") {
+		ld.readInstance(it, site)
+	}
+	ob.finish()
+	if known {
+		ld.cfg.Sites[site] = st
+	}
+}
+
+func (ld *loader) readInstance(ob *object, site weir.Zone) {
+	inst := model.Instance{
+		Name:         weir.InstanceID(ob.name("name")),
+		Zone:         site,
+		Rack:         ob.name("rack"),
+		Pool:         weir.PoolName(ob.name("pool")),
+		Cores:        ob.integer("cores", 1, 1, 4096),
+		MemoryMiB:    ob.memory("memory"),
+		Accelerators: ob.integer("accelerators", 0, 0, 1024),
+	}
+	ob.finish()
+	if _, ok := ld.cfg.Pools[inst.Pool]; !ok && inst.Pool != "" {
+		ob.fail("pool", "no pool is named %s", inst.Pool)
+	}
+	if old, ok := ld.cfg.Instances[inst.Name]; ok && old.Pool != inst.Pool {
+		ob.fail("pool", "instance %s is in two pools, %s (%s) and %s", inst.Name, old.Pool, ld.seen["instance "+string(inst.Name)], inst.Pool)
+		return
+	}
+	if ld.once(ob, "instance", string(inst.Name)) {
+		ld.cfg.Instances[inst.Name] = inst
+	}
+}
+
+// checkBudgets compares budgets with the pools that the overlays filled.
+func (ld *loader) checkBudgets() {
+	if len(ld.ps.list) > 0 {
+		return
+	}
+	sizes := map[weir.PoolName]int{}
+	for _, inst := range ld.cfg.Instances {
+		sizes[inst.Pool]++
+	}
+	names := make([]string, 0, len(ld.budgets))
+	for name := range ld.budgets {
+		names = append(names, string(name))
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		pol := ld.cfg.Pools[weir.PoolName(name)]
+		if pol.MinAvailable > sizes[pol.Name] {
+			ld.budgets[pol.Name].fail("minAvailable", "budget of %d is larger than the pool of %d", pol.MinAvailable, sizes[pol.Name])
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/model/model.go
@@ -0,0 +1,264 @@
+// Package model holds the fleet's configuration as plain values: what base
+// file and overlays say after they were checked, and the difference between
+// two of them.
+//
+// Usage:
+//
+//	dl := model.Diff(old, cfg)
+//	again := old.With(dl) // equals cfg
+package model
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"reflect"
+	"sort"
+	"strconv"
+	"time"
+
+	weir "greengageweir"
+)
+
+// Duration is a time.Duration that is written as text, for example "2s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (du Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(du).String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (du *Duration) UnmarshalText(text []byte) error {
+	val, err := time.ParseDuration(string(text))
+	*du = Duration(val)
+	return err
+}
+
+// Limits bound what one instance may be given.
+type Limits struct {
+	SlotsPerInstance       int `json:"slotsPerInstance"`
+	ConnectionsPerInstance int `json:"connectionsPerInstance"`
+}
+
+// Service is what callers ask for.
+type Service struct {
+	Name weir.ServiceName `json:"name"`
+	// QueueLength bounds the requests that wait at one entry instance.
+	QueueLength int `json:"queueLength"`
+	// Timeout is the deadline of a request that declares none.
+	Timeout Duration `json:"timeout"`
+	// DeferrableShare is the share of slots, in percent, that deferrable work
+	// gets while urgent work waits.
+	DeferrableShare int `json:"deferrableShare"`
+}
+
+// Pool is a group of instances that serve one service.
+type Pool struct {
+	Name    weir.PoolName    `json:"name"`
+	Service weir.ServiceName `json:"service"`
+	// MinAvailable is the availability budget: planned work never leaves the
+	// pool with fewer instances.
+	MinAvailable int `json:"minAvailable"`
+	// Spare pools lend instances to others.
+	Spare bool `json:"spare,omitempty"`
+}
+
+// Team is a group of callers with a quota.
+type Team struct {
+	Name weir.TeamName `json:"name"`
+	// QuotaSlots bounds the slots that the team uses at one entry instance
+	// while others wait.
+	QuotaSlots int `json:"quotaSlots"`
+}
+
+// Instance is a worker as the configuration declares it.
+type Instance struct {
+	Name         weir.InstanceID `json:"name"`
+	Zone         weir.Zone       `json:"zone"`
+	Rack         string          `json:"rack"`
+	Pool         weir.PoolName   `json:"pool"`
+	Cores        int             `json:"cores"`
+	MemoryMiB    int             `json:"memoryMiB"`
+	Accelerators int             `json:"accelerators,omitempty"`
+}
+
+// Site is one availability zone with what its overlay changes.
+type Site struct {
+	Name weir.Zone `json:"name"`
+	// Services replace the base file's services at this site.
+	Services map[weir.ServiceName]Service `json:"services,omitempty"`
+}
+
+// Config is a whole checked configuration. Treat it as immutable.
+type Config struct {
+	Name      string                       `json:"name"`
+	Limits    Limits                       `json:"limits"`
+	Sites     map[weir.Zone]Site           `json:"sites"`
+	Services  map[weir.ServiceName]Service `json:"services"`
+	Pools     map[weir.PoolName]Pool       `json:"pools"`
+	Teams     map[weir.TeamName]Team       `json:"teams"`
+	Instances map[weir.InstanceID]Instance `json:"instances"`
+}
+
+// Delta is the difference between two configurations.
+type Delta struct {
+	Name          string                       `json:"name,omitempty"`
+	Limits        *Limits                      `json:"limits,omitempty"`
+	Sites         map[weir.Zone]Site           `json:"sites,omitempty"`
+	Services      map[weir.ServiceName]Service `json:"services,omitempty"`
+	Pools         map[weir.PoolName]Pool       `json:"pools,omitempty"`
+	Teams         map[weir.TeamName]Team       `json:"teams,omitempty"`
+	Instances     map[weir.InstanceID]Instance `json:"instances,omitempty"`
+	DropSites     []weir.Zone                  `json:"dropSites,omitempty"`
+	DropServices  []weir.ServiceName           `json:"dropServices,omitempty"`
+	DropPools     []weir.PoolName              `json:"dropPools,omitempty"`
+	DropTeams     []weir.TeamName              `json:"dropTeams,omitempty"`
+	DropInstances []weir.InstanceID            `json:"dropInstances,omitempty"`
+}
+
+// Empty reports whether the delta changes nothing.
+func (dl Delta) Empty() bool { return reflect.DeepEqual(dl, Delta{}) }
+
+// Diff returns what turns from into to.
+func Diff(from, to Config) Delta {
+	dl := Delta{}
+	if from.Name != to.Name {
+		dl.Name = to.Name
+	}
+	if from.Limits != to.Limits {
+		limits := to.Limits
+		dl.Limits = &limits
+	}
+	dl.Sites, dl.DropSites = diffMap(from.Sites, to.Sites)
+	dl.Services, dl.DropServices = diffMap(from.Services, to.Services)
+	dl.Pools, dl.DropPools = diffMap(from.Pools, to.Pools)
+	dl.Teams, dl.DropTeams = diffMap(from.Teams, to.Teams)
+	dl.Instances, dl.DropInstances = diffMap(from.Instances, to.Instances)
+	return dl
+}
+
+// With returns the configuration changed by the delta.
+func (cf Config) With(dl Delta) Config {
+	if dl.Name != "" {
+		cf.Name = dl.Name
+	}
+	if dl.Limits != nil {
+		cf.Limits = *dl.Limits
+	}
+	cf.Sites = patchMap(cf.Sites, dl.Sites, dl.DropSites)
+	cf.Services = patchMap(cf.Services, dl.Services, dl.DropServices)
+	cf.Pools = patchMap(cf.Pools, dl.Pools, dl.DropPools)
+	cf.Teams = patchMap(cf.Teams, dl.Teams, dl.DropTeams)
+	cf.Instances = patchMap(cf.Instances, dl.Instances, dl.DropInstances)
+	return cf
+}
+
+func diffMap[K ~string, V any](from, to map[K]V) (map[K]V, []K) {
+	var put map[K]V
+	var drop []K
+	for key, val := range to {
+		if old, ok := from[key]; ok && reflect.DeepEqual(old, val) {
+			continue
+		}
+		if put == nil {
+			put = make(map[K]V)
+		}
+		put[key] = val
+	}
+	for key := range from {
+		if _, ok := to[key]; !ok {
+			drop = append(drop, key)
+		}
+	}
+	sort.Slice(drop, func(a, b int) bool { return drop[a] < drop[b] })
+	return put, drop
+}
+
+// patchMap copies only the maps that change.
+func patchMap[K ~string, V any](from, put map[K]V, drop []K) map[K]V {
+	if len(put) == 0 && len(drop) == 0 {
+		return from
+	}
+	to := make(map[K]V, len(from)+len(put))
+	for key, val := range from {
+		to[key] = val
+	}
+	for key, val := range put {
+		to[key] = val
+	}
+	for _, key := range drop {
+		delete(to, key)
+	}
+	return to
+}
+
+// ServiceAt returns a service as it is at a site.
+func (cf Config) ServiceAt(site weir.Zone, name weir.ServiceName) (Service, bool) {
+	if svc, ok := cf.Sites[site].Services[name]; ok {
+		return svc, true
+	}
+	svc, ok := cf.Services[name]
+	return svc, ok
+}
+
+// Render returns the configuration as one site sees it.
+func (cf Config) Render(site weir.Zone) Config {
+	out := cf
+	out.Services = patchMap(cf.Services, cf.Sites[site].Services, nil)
+	out.Sites = map[weir.Zone]Site{site: {Name: site}}
+	out.Instances = make(map[weir.InstanceID]Instance)
+	for id, inst := range cf.Instances {
+		if inst.Zone == site {
+			out.Instances[id] = inst
+		}
+	}
+	return out
+}
+
+// Checksum identifies the content of a configuration.
+func (cf Config) Checksum() string {
+	body, err := json.Marshal(cf)
+	if err != nil {
+		return ""
+	}
+	sum := fnv.New64a()
+	_, _ = sum.Write(body)
+	return strconv.FormatUint(sum.Sum64(), 16)
+}
+
+// Problem is one reason why a configuration is not accepted.
+type Problem struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// Check returns what is wrong with a configuration as a whole. The control
+// process checks again what a client sends.
+func (cf Config) Check() []Problem {
+	var probs []Problem
+	add := func(path, message string) { probs = append(probs, Problem{Path: path, Message: message}) }
+	sizes := make(map[weir.PoolName]int)
+	for id, inst := range cf.Instances {
+		if _, ok := cf.Pools[inst.Pool]; !ok {
+			add("instances."+string(id)+".pool", "no pool is named "+string(inst.Pool))
+		}
+		if _, ok := cf.Sites[inst.Zone]; !ok {
+			add("instances."+string(id)+".zone", "no site is named "+string(inst.Zone))
+		}
+		sizes[inst.Pool]++
+	}
+	for name, pol := range cf.Pools {
+		if _, ok := cf.Services[pol.Service]; !ok {
+			add("pools."+string(name)+".service", "no service is named "+string(pol.Service))
+		}
+		if pol.MinAvailable > sizes[name] {
+			add("pools."+string(name)+".minAvailable",
+				"budget of "+strconv.Itoa(pol.MinAvailable)+" is larger than the pool of "+strconv.Itoa(sizes[name]))
+		}
+	}
+	if cf.Limits.SlotsPerInstance < 1 || cf.Limits.ConnectionsPerInstance < cf.Limits.SlotsPerInstance {
+		add("limits", "need at least one slot, and a connection for each slot")
+	}
+	sort.Slice(probs, func(a, b int) bool { return probs[a].Path < probs[b].Path })
+	return probs
+}
--- /dev/null
+++ b/internal/contract/operator/operator.go
@@ -0,0 +1,118 @@
+// Package operator is the contract with operators: bodies of the HTTP
+// interface of a control process, and its client.
+//
+// Usage:
+//
+//	cl := &operator.Client{Addrs: addrs, Token: token}
+//	ans, err := cl.Apply(ctx, operator.ApplyRequest{...})
+package operator
+
+import (
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/machine"
+	"greengageweir/internal/fleet/view"
+)
+
+// ApplyRequest asks for a configuration to follow number Expected.
+type ApplyRequest struct {
+	RequestID string       `json:"requestId"`
+	Expected  uint64       `json:"expected"`
+	Note      string       `json:"note,omitempty"`
+	Config    model.Config `json:"config"`
+}
+
+// ConfigAnswer is the configuration in force.
+type ConfigAnswer struct {
+	Number   uint64       `json:"number"`
+	Checksum string       `json:"checksum"`
+	Config   model.Config `json:"config"`
+}
+
+// WaveRequest creates a wave.
+type WaveRequest struct {
+	RequestID string             `json:"requestId"`
+	Wave      command.WaveCreate `json:"wave"`
+}
+
+// WaveActionRequest pauses, resumes or aborts a wave.
+type WaveActionRequest struct {
+	RequestID string             `json:"requestId"`
+	Action    command.WaveAction `json:"action"`
+}
+
+// MoveRequest moves an instance to a pool.
+type MoveRequest struct {
+	RequestID string          `json:"requestId"`
+	Instance  weir.InstanceID `json:"instance"`
+	To        weir.PoolName   `json:"to"`
+}
+
+// AbandonRequest takes a drain back.
+type AbandonRequest struct {
+	RequestID string `json:"requestId"`
+	Reason    string `json:"reason"`
+}
+
+// ForgetRequest removes a process that is gone for good from the roll-out.
+type ForgetRequest struct {
+	RequestID string `json:"requestId"`
+}
+
+// StatusAnswer is the state of the fleet.
+type StatusAnswer struct {
+	Leader    string               `json:"leader"`
+	Index     uint64               `json:"index"`
+	Number    uint64               `json:"number"`
+	Processes []peerapi.Process    `json:"processes"`
+	Pools     []machine.PoolStatus `json:"pools"`
+	Moves     uint64               `json:"moves"`
+	Demand    []peerapi.Demand     `json:"demand"`
+}
+
+// InForce reports whether a configuration is in force at each process that is
+// heard, and names those that are not heard.
+func (sa StatusAnswer) InForce(number uint64) (inForce bool, unheard []string) {
+	inForce = sa.Number >= number && len(sa.Processes) > 0
+	for _, pr := range sa.Processes {
+		if !pr.Heard {
+			unheard = append(unheard, pr.ID)
+			continue
+		}
+		if pr.Number < number {
+			inForce = false
+		}
+	}
+	return inForce, unheard
+}
+
+// WaveStatus is a wave with its progress.
+type WaveStatus struct {
+	Name      string            `json:"name"`
+	State     machine.WaveState `json:"state"`
+	Todo      int               `json:"todo"`
+	Active    []weir.InstanceID `json:"active"`
+	Done      int               `json:"done"`
+	Stuck     []weir.InstanceID `json:"stuck,omitempty"`
+	CreatedAt time.Time         `json:"createdAt"`
+	EndedAt   *time.Time        `json:"endedAt,omitempty"`
+	// ExpectedEnd is worked out from the pace so far.
+	ExpectedEnd *time.Time `json:"expectedEnd,omitempty"`
+}
+
+// InstanceStatus is an instance with what is known of it.
+type InstanceStatus struct {
+	view.Member
+	Up    bool   `json:"up"`
+	Entry string `json:"entry,omitempty"`
+}
+
+// UsageAnswer is the settled usage and whether reports are still under way.
+type UsageAnswer struct {
+	Index uint64              `json:"index"`
+	Lines []machine.UsageLine `json:"lines"`
+}
--- /dev/null
+++ b/internal/control/operatorapi/api.go
@@ -0,0 +1,269 @@
+// Package operatorapi is the operators' HTTP interface of a control process.
+// Reads are linearizable; with ?stale=true they are answered from what this
+// process has, which works without a leader.
+//
+// Usage:
+//
+//	api := &operatorapi.API{Service: sv}
+//	server := &ops.Server{..., Routes: api.Routes}
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/contract/operator"
+	"greengageweir/internal/control/serve"
+	"greengageweir/internal/duty/access"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/machine"
+)
+
+const requestTimeout = 5 * time.Second
+
+// API serves operators.
+type API struct {
+	Service *serve.Service
+}
+
+// Routes adds the interface's routes.
+func (ap *API) Routes(grp *echo.Group) {
+	grp.GET("/v1/config", ap.read(ap.config))
+	grp.POST("/v1/config", ap.apply)
+	grp.GET("/v1/config/history", ap.read(ap.history))
+	grp.GET("/v1/status", ap.read(ap.status))
+	grp.GET("/v1/instances", ap.read(ap.instances))
+	grp.GET("/v1/waves", ap.read(ap.waves))
+	grp.POST("/v1/waves", ap.createWave)
+	grp.POST("/v1/waves/:name", ap.setWave)
+	grp.POST("/v1/moves", ap.move)
+	grp.POST("/v1/instances/:instance/abandon", ap.abandon)
+	grp.POST("/v1/processes/:process/forget", ap.forget)
+	grp.GET("/v1/usage", ap.read(ap.usage))
+}
+
+// read wraps a handler that returns a value to be read.
+func (ap *API) read(get func(ctx context.Context, ech echo.Context) (any, error)) echo.HandlerFunc {
+	return func(ech echo.Context) error {
+		ctx, cancel := context.WithTimeout(ech.Request().Context(), requestTimeout)
+		defer cancel()
+		if ech.QueryParam("stale") != "true" {
+			if err := ap.Service.Barrier(ctx); err != nil {
+				return unavailable(err)
+			}
+		}
+		value, err := get(ctx, ech)
+		if err != nil {
+			return unavailable(err)
+		}
+		return ech.JSON(http.StatusOK, value)
+	}
+}
+
+func unavailable(err error) error {
+	return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+}
+
+// statusOf maps refusals to HTTP.
+var statusOf = map[command.RefusalKind]int{
+	command.RefusedConflict: http.StatusConflict,
+	command.RefusedInvalid:  http.StatusUnprocessableEntity,
+	command.RefusedUnknown:  http.StatusNotFound,
+	command.RefusedState:    http.StatusConflict,
+	command.RefusedBudget:   http.StatusConflict,
+	command.RefusedStale:    http.StatusConflict,
+}
+
+// propose commits an operator's command and answers with the result. An
+// answer of 503 says that it may or may not be committed; sending it again
+// under the same request id is safe.
+func (ap *API) propose(ech echo.Context, cmd command.Command) error {
+	if cmd.RequestID == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "requestId is missing")
+	}
+	ctx, cancel := context.WithTimeout(ech.Request().Context(), requestTimeout)
+	defer cancel()
+	cmd.At = ap.Service.Clock.Now()
+	cmd.Operator = access.Operator(ech)
+	ans, err := ap.Service.Propose(ctx, cmd)
+	if err != nil {
+		return unavailable(err)
+	}
+	if ans.Refusal != nil {
+		return ech.JSON(statusOf[ans.Refusal.Kind], ans)
+	}
+	return ech.JSON(http.StatusOK, ans)
+}
+
+func bind(ech echo.Context, into any) error {
+	if err := ech.Bind(into); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "body not understood: "+err.Error())
+	}
+	return nil
+}
+
+// apply turns a whole configuration into the difference from the one that the
+// operator expects. The state machine checks the number again.
+func (ap *API) apply(ech echo.Context) error {
+	var req operator.ApplyRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ech.Request().Context(), requestTimeout)
+	defer cancel()
+	if err := ap.Service.Barrier(ctx); err != nil {
+		return unavailable(err)
+	}
+	var delta model.Delta
+	ap.Service.Machine.Read(func(rd machine.Reader) { delta = model.Diff(rd.Config(), req.Config) })
+	return ap.propose(ech, command.Command{RequestID: req.RequestID, Config: &command.ConfigApply{
+		Expected: req.Expected, Delta: delta, Checksum: req.Config.Checksum(), Note: req.Note,
+	}})
+}
+
+func (ap *API) config(context.Context, echo.Context) (any, error) {
+	var ans operator.ConfigAnswer
+	ap.Service.Machine.Read(func(rd machine.Reader) {
+		ans = operator.ConfigAnswer{Number: rd.Number(), Config: rd.Config()}
+	})
+	ans.Checksum = ans.Config.Checksum()
+	return ans, nil
+}
+
+func (ap *API) history(context.Context, echo.Context) (any, error) {
+	var list []machine.Change
+	ap.Service.Machine.Read(func(rd machine.Reader) { list = rd.History() })
+	return list, nil
+}
+
+func (ap *API) status(ctx context.Context, ech echo.Context) (any, error) {
+	st := ap.Service.Node.Status()
+	ans := operator.StatusAnswer{Leader: st.Leader}
+	ap.Service.Machine.Read(func(rd machine.Reader) {
+		ans.Index, ans.Number, ans.Pools, ans.Moves = rd.Index(), rd.Number(), rd.Pools(), rd.Moves()
+	})
+	for _, dm := range ap.Service.Registry.Demand(ap.Service.Clock.Now()) {
+		ans.Demand = append(ans.Demand, dm)
+	}
+	sort.Slice(ans.Demand, func(a, b int) bool { return ans.Demand[a].Service < ans.Demand[b].Service })
+	processes, err := ap.Service.Processes(ctx)
+	if err != nil && ech.QueryParam("stale") != "true" {
+		return nil, err
+	}
+	ans.Processes = processes
+	return ans, nil
+}
+
+func (ap *API) instances(context.Context, echo.Context) (any, error) {
+	var list []operator.InstanceStatus
+	ap.Service.Machine.Read(func(rd machine.Reader) {
+		for id, mem := range rd.Members() {
+			sta := rd.Statuses()[id]
+			list = append(list, operator.InstanceStatus{Member: mem, Up: sta.Up, Entry: sta.Entry})
+		}
+	})
+	sort.Slice(list, func(a, b int) bool { return list[a].Instance < list[b].Instance })
+	return list, nil
+}
+
+func (ap *API) waves(context.Context, echo.Context) (any, error) {
+	list := []operator.WaveStatus{}
+	now := ap.Service.Clock.Now()
+	ap.Service.Machine.Read(func(rd machine.Reader) {
+		for _, wv := range rd.Waves() {
+			list = append(list, waveStatus(wv, now))
+		}
+	})
+	return list, nil
+}
+
+func waveStatus(wv *machine.Wave, now time.Time) operator.WaveStatus {
+	ws := operator.WaveStatus{
+		Name: wv.Name, State: wv.State, Todo: len(wv.Todo), Done: len(wv.Done), CreatedAt: wv.CreatedAt,
+		Active: names(wv.Active), Stuck: names(wv.Stuck),
+	}
+	if !wv.EndedAt.IsZero() {
+		ended := wv.EndedAt
+		ws.EndedAt = &ended
+		return ws
+	}
+	if len(wv.Done) > 0 {
+		left := len(wv.Todo) + len(wv.Active)
+		end := now.Add(now.Sub(wv.CreatedAt) * time.Duration(left) / time.Duration(len(wv.Done)))
+		ws.ExpectedEnd = &end
+	}
+	return ws
+}
+
+func names(set map[weir.InstanceID]bool) []weir.InstanceID {
+	list := make([]weir.InstanceID, 0, len(set))
+	for id := range set {
+		list = append(list, id)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a] < list[b] })
+	return list
+}
+
+func (ap *API) createWave(ech echo.Context) error {
+	var req operator.WaveRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	return ap.propose(ech, command.Command{RequestID: req.RequestID, Wave: &req.Wave})
+}
+
+func (ap *API) setWave(ech echo.Context) error {
+	var req operator.WaveActionRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	return ap.propose(ech, command.Command{
+		RequestID: req.RequestID, WaveSet: &command.WaveSet{Name: ech.Param("name"), Action: req.Action},
+	})
+}
+
+func (ap *API) move(ech echo.Context) error {
+	var req operator.MoveRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	// An operator's move is not taken back to the pool of the configuration.
+	return ap.propose(ech, command.Command{
+		RequestID: req.RequestID, Move: &command.Move{Instance: req.Instance, To: req.To, Lent: true},
+	})
+}
+
+func (ap *API) abandon(ech echo.Context) error {
+	var req operator.AbandonRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	return ap.propose(ech, command.Command{
+		RequestID: req.RequestID,
+		Abandon:   &command.Abandon{Instance: weir.InstanceID(ech.Param("instance")), Reason: req.Reason},
+	})
+}
+
+func (ap *API) forget(ech echo.Context) error {
+	var req operator.ForgetRequest
+	if err := bind(ech, &req); err != nil {
+		return err
+	}
+	return ap.propose(ech, command.Command{
+		RequestID: req.RequestID, Process: &command.Process{ID: ech.Param("process"), Forget: true},
+	})
+}
+
+func (ap *API) usage(context.Context, echo.Context) (any, error) {
+	var ans operator.UsageAnswer
+	ap.Service.Machine.Read(func(rd machine.Reader) {
+		ans = operator.UsageAnswer{Index: rd.Index(), Lines: rd.Usage()}
+	})
+	return ans, nil
+}
--- /dev/null
+++ b/internal/control/serve/report.go
@@ -0,0 +1,77 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/machine"
+)
+
+// Report takes an entry instance's report, here or at the leader.
+func (sv *Service) Report(ctx context.Context, rep peerapi.Report) (peerapi.ReportAnswer, error) {
+	if !sv.Leads() {
+		var ans peerapi.ReportAnswer
+		err := sv.atLeader(ctx, peerapi.EntryReport, rep, &ans)
+		return ans, err
+	}
+	now := sv.Clock.Now()
+	ans := peerapi.ReportAnswer{WantFull: sv.Registry.Heard(now, rep)}
+	if err := sv.enrol(ctx, rep, now); err != nil {
+		return ans, err
+	}
+	if items := sv.changed(rep); len(items) > 0 {
+		if _, err := sv.proposeHere(ctx, command.Command{At: now, Status: &command.StatusBatch{Items: items}}); err != nil {
+			return ans, err
+		}
+	}
+	for _, co := range rep.Consents {
+		if _, err := sv.proposeHere(ctx, command.Command{At: now, Consent: &co}); err != nil {
+			return ans, err
+		}
+	}
+	if len(rep.Usage) == 0 {
+		return ans, nil
+	}
+	done, err := sv.proposeHere(ctx, command.Command{At: now, Usage: &command.UsageBatch{Reports: rep.Usage}})
+	ans.Acked = done.Acked
+	return ans, err
+}
+
+// enrol makes an entry instance known on its first report.
+func (sv *Service) enrol(ctx context.Context, rep peerapi.Report, now time.Time) error {
+	known := false
+	sv.Machine.Read(func(rd machine.Reader) { _, known = rd.Processes()[rep.Entry] })
+	if known {
+		return nil
+	}
+	_, err := sv.proposeHere(ctx, command.Command{At: now, Process: &command.Process{ID: rep.Entry, Zone: rep.Zone}})
+	return err
+}
+
+// changed returns the statuses that say something new. In a full report the
+// instances that are missing are no longer with that entry instance.
+func (sv *Service) changed(rep peerapi.Report) []command.Status {
+	var items []command.Status
+	named := make(map[weir.InstanceID]bool, len(rep.Statuses))
+	sv.Machine.Read(func(rd machine.Reader) {
+		for _, sta := range rep.Statuses {
+			named[sta.Instance] = true
+			if rd.Statuses()[sta.Instance] != sta {
+				items = append(items, sta)
+			}
+		}
+		if !rep.Full {
+			return
+		}
+		for id, sta := range rd.Statuses() {
+			if sta.Up && sta.Entry == rep.Entry && !named[id] {
+				sta.Up = false
+				items = append(items, sta)
+			}
+		}
+	})
+	return items
+}
--- /dev/null
+++ b/internal/control/serve/service.go
@@ -0,0 +1,159 @@
+// Package serve answers the calls of other processes at a control process and
+// carries commands to the leader.
+//
+// Usage:
+//
+//	sv := &serve.Service{Self: "c1", Node: nd, Machine: mc, Hub: hb, Registry: rg, Links: links, Clock: clk}
+//	server := &peer.Server{Addr: addr, Token: token, Handle: sv.Handle, Gone: hb.Gone}
+package serve
+
+import (
+	"context"
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/control/hub"
+	"greengageweir/internal/control/registry"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/machine"
+	"greengageweir/internal/link/peer"
+	"greengageweir/internal/state/node"
+	"greengageweir/internal/state/replica"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindNoLeader Kind = "no leader is known"
+	KindDecode   Kind = "cannot encode or decode"
+	KindBehind   Kind = "this process has not caught up"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Service answers calls. Set the exported fields before use.
+type Service struct {
+	Self     string
+	Node     *node.Node
+	Machine  *machine.Machine
+	Hub      *hub.Hub
+	Registry *registry.Registry
+	Links    *Links
+	Clock    weir.Clock
+}
+
+// Handle implements peer.Handler.
+func (sv *Service) Handle(ctx context.Context, call peer.Call) (any, error) {
+	switch call.Method {
+	case peerapi.RaftMessage:
+		var msg replica.Message
+		if err := call.Decode(&msg); err != nil {
+			return nil, err
+		}
+		sv.Node.Deliver(msg)
+		return nil, nil
+	case peerapi.ViewSubscribe:
+		var sub peerapi.Subscribe
+		if err := call.Decode(&sub); err != nil {
+			return nil, err
+		}
+		sv.Hub.Subscribe(context.WithoutCancel(ctx), call.Conn, sub.Have)
+		return struct{}{}, nil
+	case peerapi.EntryReport:
+		var rep peerapi.Report
+		if err := call.Decode(&rep); err != nil {
+			return nil, err
+		}
+		return sv.Report(ctx, rep)
+	case peerapi.ControlPropose:
+		var cmd command.Command
+		if err := call.Decode(&cmd); err != nil {
+			return nil, err
+		}
+		return sv.proposeHere(ctx, cmd)
+	case peerapi.ControlProcesses:
+		return sv.Processes(ctx)
+	}
+	return nil, peer.Unknown(call.Method)
+}
+
+// Leads reports whether this process is the leader as far as it knows.
+func (sv *Service) Leads() bool { return sv.Node.Status().Role == replica.Leader }
+
+// Propose commits a command, here or at the leader.
+func (sv *Service) Propose(ctx context.Context, cmd command.Command) (command.Answer, error) {
+	if sv.Leads() {
+		return sv.proposeHere(ctx, cmd)
+	}
+	var ans command.Answer
+	err := sv.atLeader(ctx, peerapi.ControlPropose, cmd, &ans)
+	return ans, err
+}
+
+func (sv *Service) proposeHere(ctx context.Context, cmd command.Command) (command.Answer, error) {
+	data, err := cmd.Encode()
+	if err != nil {
+		return command.Answer{}, &Error{Op: "propose", Kind: KindDecode, Err: err}
+	}
+	value, err := sv.Node.Propose(ctx, data)
+	if err != nil {
+		return command.Answer{}, err
+	}
+	ans, ok := value.(command.Answer)
+	if !ok {
+		return command.Answer{}, &Error{Op: "propose", Kind: KindDecode}
+	}
+	return ans, nil
+}
+
+func (sv *Service) atLeader(ctx context.Context, method string, params, result any) error {
+	leader := sv.Node.Status().Leader
+	if leader == "" || leader == sv.Self {
+		return &Error{Op: method, Kind: KindNoLeader}
+	}
+	return sv.Links.Call(ctx, leader, method, params, result)
+}
+
+// Processes returns the state of the roll-out as the leader knows it.
+func (sv *Service) Processes(ctx context.Context) ([]peerapi.Process, error) {
+	var list []peerapi.Process
+	if !sv.Leads() {
+		err := sv.atLeader(ctx, peerapi.ControlProcesses, struct{}{}, &list)
+		return list, err
+	}
+	sv.Machine.Read(func(rd machine.Reader) {
+		list = sv.Registry.Processes(sv.Clock.Now(), rd.Processes())
+	})
+	return list, nil
+}
+
+// catchUpEvery is how often a read waits for this process to catch up.
+const catchUpEvery = 2 * time.Millisecond
+
+// Barrier returns when this process has applied everything that was committed
+// before the call, so that what is read next is linearizable.
+func (sv *Service) Barrier(ctx context.Context) error {
+	ans, err := sv.Propose(ctx, command.Command{At: sv.Clock.Now(), Barrier: &command.Barrier{}})
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(catchUpEvery)
+	defer ticker.Stop()
+	for {
+		var index uint64
+		sv.Machine.Read(func(rd machine.Reader) { index = rd.Index() })
+		if index >= ans.Index {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &Error{Op: "read", Kind: KindBehind, Err: ctx.Err()}
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/fault/fault.go
@@ -0,0 +1,39 @@
+// Package fault provides the shape that every package's error type has: the
+// operation that failed, a kind that callers can test, and the cause.
+//
+// Usage:
+//
+//	type Kind string
+//	type Error = fault.Error[Kind]
+//	return &Error{Op: "open", Kind: KindLocked, Err: err}
+package fault
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Error is an error with an operation and a kind.
+type Error[K ~string] struct {
+	Op   string
+	Kind K
+	Err  error
+}
+
+// Error implements error.
+func (er *Error[K]) Error() string {
+	if er.Err == nil {
+		return fmt.Sprintf("%s: %s", er.Op, string(er.Kind))
+	}
+	return fmt.Sprintf("%s: %s: %v", er.Op, string(er.Kind), er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *Error[K]) Unwrap() error { return er.Err }
+
+// Is reports whether err is or wraps an error of the given kind.
+func Is[K ~string](err error, kind K) bool {
+	var er *Error[K]
+	return errors.As(err, &er) && er.Kind == kind
+}
--- /dev/null
+++ b/internal/duty/settings/settings.go
@@ -0,0 +1,118 @@
+// Package settings checks a process's flags, all at once.
+//
+// Usage:
+//
+//	var ck settings.Checks
+//	ck.Address("--peer-addr", st.PeerAddr)
+//	ck.Range("--retention", st.Retention, time.Minute, 24*time.Hour)
+//	return ck.Err()
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"greengageweir/internal/duty/fault"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindInvalid says that settings are missing or out of range.
+const KindInvalid Kind = "settings are not valid"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Checks collects what is wrong.
+type Checks struct {
+	problems []string
+}
+
+// Problem is the cause in an Error: one line for each wrong setting.
+type Problem struct{ lines []string }
+
+// Error implements error.
+func (pr *Problem) Error() string { return "\n  " + strings.Join(pr.lines, "\n  ") }
+
+func (ck *Checks) add(flag, format string, args ...any) {
+	ck.problems = append(ck.problems, flag+": "+fmt.Sprintf(format, args...))
+}
+
+// Err returns all problems as one error, or nil.
+func (ck *Checks) Err() error {
+	if len(ck.problems) == 0 {
+		return nil
+	}
+	return &Error{Op: "check settings", Kind: KindInvalid, Err: &Problem{lines: ck.problems}}
+}
+
+// Name checks a name of lower-case letters, digits and hyphens.
+func (ck *Checks) Name(flag, val string) {
+	if !namePattern.MatchString(val) {
+		ck.add(flag, "want a name of 1 to 63 lower-case letters, digits and hyphens, got %q", val)
+	}
+}
+
+// Address checks an IP address with a port.
+func (ck *Checks) Address(flag, val string) {
+	host, port, err := net.SplitHostPort(val)
+	if err != nil || net.ParseIP(host) == nil {
+		ck.add(flag, "want IP:port, got %q", val)
+		return
+	}
+	if num, err := strconv.Atoi(port); err != nil || num < 0 || num > 65535 {
+		ck.add(flag, "want a port from 0 to 65535, got %q", port)
+	}
+}
+
+// Range checks a duration.
+func (ck *Checks) Range(flag string, val, low, high time.Duration) {
+	if val < low || val > high {
+		ck.add(flag, "%s is out of range, want %s to %s", val, low, high)
+	}
+}
+
+// Count checks a number.
+func (ck *Checks) Count(flag string, val, low, high int) {
+	if val < low || val > high {
+		ck.add(flag, "%d is out of range, want %d to %d", val, low, high)
+	}
+}
+
+// File checks that a file can be read.
+func (ck *Checks) File(flag, path string) {
+	if path == "" {
+		ck.add(flag, "missing")
+		return
+	}
+	file, err := os.Open(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		ck.add(flag, "%v", err)
+		return
+	}
+	_ = file.Close()
+}
+
+// Need reports a setting that is missing.
+func (ck *Checks) Need(flag string, present bool) {
+	if !present {
+		ck.add(flag, "missing")
+	}
+}
+
+// Pair splits "name=value".
+func (ck *Checks) Pair(flag, val string) (name, rest string) {
+	name, rest, ok := strings.Cut(val, "=")
+	if !ok || name == "" || rest == "" {
+		ck.add(flag, "want name=value, got %q", val)
+	}
+	return name, rest
+}
--- /dev/null
+++ b/internal/entry/dispatch/send.go
@@ -0,0 +1,106 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/endpoint"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/entry/place"
+	"greengageweir/internal/link/httpconn"
+)
+
+// send runs a request on a slot and gives the slot back. The second result
+// says whether another slot may be tried: the request certainly did not run.
+func (dp *Dispatcher) send(ctx context.Context, slot *place.Slot, req weir.Request) (weir.Answer, bool) {
+	wait := req.Deadline.Sub(dp.Clock.Now())
+	if req.Key != "" {
+		wait += recordGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	httpReq, err := dp.endpointRequest(ctx, slot, req)
+	if err != nil {
+		slot.Release(place.Abandoned)
+		return weir.AnswerNotRun("bad request: " + err.Error()), false
+	}
+	begin := dp.Clock.Now()
+	resp, err := slot.Conns.Do(ctx, httpReq, req.Repeatable)
+	observe("weir_endpoint_seconds", dp.Clock.Now().Sub(begin))
+	if err != nil {
+		return brokenAnswer(slot, err)
+	}
+	if reason := resp.Header.Get(endpoint.HeaderRefused); reason != "" {
+		slot.Release(place.Abandoned)
+		return weir.AnswerNotRun("endpoint refused: " + reason), true
+	}
+	slot.Release(resultOf(resp.Status))
+	return weir.Answer{
+		Kind: weir.Whole, Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body,
+	}, false
+}
+
+func (dp *Dispatcher) endpointRequest(ctx context.Context, slot *place.Slot, req weir.Request) (*http.Request, error) {
+	httpReq, err := http.NewRequestWithContext(ctx, req.Method, "http://"+string(slot.Instance)+req.Path, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, err
+	}
+	head := httpReq.Header
+	head.Set(endpoint.HeaderLease, slot.Lease.String())
+	head.Set(endpoint.HeaderEntry, dp.Self)
+	head.Set(endpoint.HeaderTask, uuid.NewString())
+	head.Set(endpoint.HeaderService, string(req.Service))
+	head.Set(endpoint.HeaderTeam, string(req.Team))
+	if req.Key != "" {
+		head.Set(endpoint.HeaderKey, req.Key)
+	}
+	if req.ContentType != "" {
+		head.Set("Content-Type", req.ContentType)
+	}
+	return httpReq, nil
+}
+
+// brokenAnswer tells what an error on the way means. A deadline counts
+// against the endpoint, since a silent one shows itself in no other way.
+func brokenAnswer(slot *place.Slot, err error) (weir.Answer, bool) {
+	slot.Release(place.Failed)
+	if fault.Is(err, httpconn.KindNotSent) {
+		return weir.AnswerNotRun("endpoint not reached"), true
+	}
+	return weir.AnswerUnknown(err.Error()), false
+}
+
+func resultOf(status int) place.Result {
+	if status >= http.StatusInternalServerError {
+		return place.Failed
+	}
+	return place.Succeeded
+}
+
+// retryBudget allows retries as a share of the requests, so that retries
+// cannot multiply an overload.
+type retryBudget struct {
+	tokens float64
+}
+
+const (
+	retryShare = 0.1
+	retryBurst = 20
+)
+
+func (rb *retryBudget) earn() { rb.tokens = min(rb.tokens+retryShare, retryBurst) }
+
+func (rb *retryBudget) spend() bool {
+	if rb.tokens < 1 {
+		return false
+	}
+	rb.tokens--
+	return true
+}
+
+const retryPause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/entry/ledger/key.go
@@ -0,0 +1,78 @@
+package ledger
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	weir "greengageweir"
+)
+
+// Key is a parsed idempotency key: a version 7 UUID (RFC 9562), which carries
+// the time it was made, optionally behind the name of its home zone and a dot.
+type Key struct {
+	Text  string
+	Zone  weir.Zone
+	Stamp time.Time
+}
+
+// NewKey makes a key with a home.
+func NewKey(zone weir.Zone, now time.Time) (string, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", &Error{Op: "new key", Kind: KindKey, Err: err}
+	}
+	setStamp(&id, now)
+	return string(zone) + "." + id.String(), nil
+}
+
+// setStamp writes the milliseconds of now into the first six bytes.
+func setStamp(id *uuid.UUID, now time.Time) {
+	millis := now.UnixMilli()
+	for ix := 5; ix >= 0; ix-- {
+		id[ix] = byte(millis)
+		millis >>= 8
+	}
+}
+
+// ParseKey reads a key.
+func ParseKey(text string) (Key, error) {
+	zone, rest, found := strings.Cut(text, ".")
+	if !found {
+		zone, rest = "", text
+	}
+	id, err := uuid.Parse(rest)
+	if err != nil {
+		return Key{}, &Error{Op: "parse key", Kind: KindKey, Err: err}
+	}
+	if id.Version() != 7 || len(rest) != len(id.String()) {
+		return Key{}, &Error{Op: "parse key", Kind: KindKey}
+	}
+	var millis int64
+	for ix := range 6 {
+		millis = millis<<8 | int64(id[ix])
+	}
+	return Key{Text: text, Zone: weir.Zone(zone), Stamp: time.UnixMilli(millis)}, nil
+}
+
+// Rank orders candidates for a key by rendezvous hashing (Thaler and
+// Ravishankar, 1998): the highest rank is the first choice.
+func Rank(key, candidate string) uint64 { return xxhash.Sum64String(candidate + "\x00" + key) }
+
+// Home returns the zone that keeps the key's record: its mark, or for a key
+// without one the first choice by rendezvous hashing.
+func (ke Key) Home(zones []weir.Zone) weir.Zone {
+	var best weir.Zone
+	var bestRank uint64
+	for _, zone := range zones {
+		if zone == ke.Zone {
+			return zone
+		}
+		if rank := Rank(ke.Text, string(zone)); best == "" || rank > bestRank {
+			best, bestRank = zone, rank
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/entry/place/announce.go
@@ -0,0 +1,225 @@
+package place
+
+import (
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/endpoint"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/duty/invariant"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/view"
+	"greengageweir/internal/link/httpconn"
+)
+
+const (
+	// LeaseTime is how long an endpoint is leased from its announcement on.
+	LeaseTime = 3 * time.Second
+	// AnnounceEvery is when an endpoint announces itself again.
+	AnnounceEvery = time.Second
+)
+
+// Announce takes an endpoint's announcement and grants or refuses a lease.
+func (tb *Table) Announce(ann endpoint.Announcement) endpoint.Answer {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	now := tb.clk.Now()
+	if reason := tb.refusal(ann); reason != "" {
+		return endpoint.Answer{Reason: reason, View: tb.view.Index, EveryMillis: AnnounceEvery.Milliseconds()}
+	}
+	wk := tb.workerFor(ann)
+	wasUp := wk.up(now)
+	wk.expires = now.Add(LeaseTime)
+	wk.leaving = ann.State == endpoint.Leaving
+	wk.seen = max(wk.seen, ann.SeenView)
+	wk.reported = ann.InFlight
+	wk.foreign = min(wk.foreign, max(0, ann.InFlight-wk.busy))
+	if wk.up(now) != wasUp {
+		tb.dirty[wk.id] = true
+	}
+	tb.usage.add(ann.Usage)
+	if wk.serving {
+		tb.pump(now, tb.queue(wk.service))
+	}
+	return endpoint.Answer{
+		Granted: true, LeaseMillis: LeaseTime.Milliseconds(), EveryMillis: AnnounceEvery.Milliseconds(),
+		View: tb.view.Index, Service: wk.service, Slots: tb.slots(), Settled: tb.usage.settledUpTo(wk.id, wk.lease.Incarnation),
+	}
+}
+
+// refusal tells why a lease is not granted, or "". An endpoint that has seen a
+// newer view than this entry instance is refused: it may have been drained
+// under that view.
+func (tb *Table) refusal(ann endpoint.Announcement) string {
+	old, known := tb.workers[ann.Instance]
+	switch {
+	case tb.stopping:
+		return "entry is stopping"
+	case tb.view.Index < ann.SeenView || tb.view.Index == 0:
+		return "entry has an older view"
+	case tb.view.Members[ann.Instance].Instance == "":
+		return "instance is not in the configuration"
+	case known && ann.Lease.Before(old.lease):
+		return "an older lease"
+	}
+	return ""
+}
+
+// workerFor returns the worker of an announcement, anew where the lease is.
+func (tb *Table) workerFor(ann endpoint.Announcement) *worker {
+	old, known := tb.workers[ann.Instance]
+	if known && old.lease == ann.Lease && old.addr == ann.Address {
+		return old
+	}
+	if known {
+		old.conns.Close()
+	}
+	wk := &worker{
+		id: ann.Instance, lease: ann.Lease, addr: ann.Address, foreign: ann.InFlight,
+		conns: httpconn.NewPool(ann.Address, max(1, tb.view.Config.Limits.ConnectionsPerInstance), tb.clk),
+	}
+	if known && old.lease.Incarnation == ann.Lease.Incarnation {
+		wk.failures, wk.ejections = old.failures, old.ejections
+		wk.ejectedAt, wk.ejectedUntil = old.ejectedAt, old.ejectedUntil
+	}
+	tb.workers[ann.Instance] = wk
+	tb.dirty[wk.id] = true
+	tb.regroup()
+	return wk
+}
+
+// Sweep ends leases that ran out and returns the status of all instances that
+// changed since the last call, or of all if full is set.
+func (tb *Table) Sweep(entry string, full bool) []command.Status {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	now := tb.clk.Now()
+	var list []command.Status
+	for id, wk := range tb.workers {
+		expired := !now.Before(wk.expires)
+		if expired {
+			tb.dirty[id] = true
+		}
+		if full || tb.dirty[id] {
+			list = append(list, command.Status{
+				Instance: id, Incarnation: wk.lease.Incarnation, Epoch: wk.lease.Epoch, Up: wk.up(now), Entry: entry,
+			})
+		}
+		if expired && wk.busy == 0 {
+			wk.conns.Close()
+			delete(tb.workers, id)
+			tb.usage.forget(id)
+		}
+	}
+	clear(tb.dirty)
+	tb.regroup()
+	return list
+}
+
+// Resend marks instances whose status did not reach the leader.
+func (tb *Table) Resend(list []command.Status) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, sta := range list {
+		if _, ok := tb.workers[sta.Instance]; ok {
+			tb.dirty[sta.Instance] = true
+		}
+	}
+}
+
+// Consents returns a consent for each draining instance that is leased here,
+// has seen the drain itself and holds no work.
+func (tb *Table) Consents(entry string) []command.Consent {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var list []command.Consent
+	for id, wk := range tb.workers {
+		mem := tb.view.Members[id]
+		idle := wk.busy == 0 && wk.foreign == 0 && wk.reported == 0
+		if mem.Phase != view.Draining || !idle || wk.seen < mem.Since {
+			continue
+		}
+		invariant.Check(!wk.serving, "drainedGetsNoWork", "instance", id)
+		list = append(list, command.Consent{
+			Instance: id, Entry: entry, Incarnation: wk.lease.Incarnation, Epoch: wk.lease.Epoch, View: wk.seen,
+		})
+	}
+	return list
+}
+
+// Usage returns the reports that are not settled yet.
+func (tb *Table) Usage() []command.UsageReport {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return tb.usage.pending()
+}
+
+// Settle takes the leader's word on which reports are counted.
+func (tb *Table) Settle(marks []command.UsageMark) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, mk := range marks {
+		tb.usage.settle(mk)
+	}
+}
+
+// Free returns the free slots of each service that others may use.
+func (tb *Table) Free() map[weir.ServiceName]int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	now := tb.clk.Now()
+	free := make(map[weir.ServiceName]int, len(tb.queues))
+	if tb.stopping {
+		return free
+	}
+	for name, sq := range tb.queues {
+		if sq.waiting() > 0 {
+			continue
+		}
+		for _, wk := range sq.workers {
+			if !wk.ejected() {
+				free[name] += wk.free(now, tb.slots())
+			}
+		}
+	}
+	return free
+}
+
+// Demand returns the load of each service.
+func (tb *Table) Demand() []peerapi.Demand {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	list := make([]peerapi.Demand, 0, len(tb.queues))
+	for name, sq := range tb.queues {
+		list = append(list, peerapi.Demand{Service: name, Busy: sq.busy, Slots: len(sq.workers) * tb.slots(), Waiting: sq.waiting()})
+	}
+	return list
+}
+
+// EndpointState is an endpoint as this entry instance sees it.
+type EndpointState struct {
+	Instance weir.InstanceID  `json:"instance"`
+	Address  string           `json:"address"`
+	Lease    endpoint.Lease   `json:"lease"`
+	Service  weir.ServiceName `json:"service"`
+	Serving  bool             `json:"serving"`
+	Up       bool             `json:"up"`
+	Busy     int              `json:"busy"`
+	Foreign  int              `json:"foreign,omitempty"`
+	Ejected  bool             `json:"ejected,omitempty"`
+}
+
+// Endpoints returns all endpoints for the state dump.
+func (tb *Table) Endpoints() []EndpointState {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	now := tb.clk.Now()
+	list := make([]EndpointState, 0, len(tb.workers))
+	for _, wk := range tb.workers {
+		list = append(list, EndpointState{
+			Instance: wk.id, Address: wk.addr, Lease: wk.lease, Service: wk.service, Serving: wk.serving,
+			Up: wk.up(now), Busy: wk.busy, Foreign: wk.foreign, Ejected: wk.ejected(),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/report/report.go
@@ -0,0 +1,103 @@
+// Package report tells the leader what an entry instance knows: the view in
+// force, the state of its endpoints, consents to drains, usage and demand.
+//
+// Usage:
+//
+//	rp := &report.Reporter{Self: "shy-1", Table: tb, Follower: fl, Clock: clk}
+//	go rp.Run(ctx)
+package report
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/entry/place"
+	"greengageweir/internal/fleet/view"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	// reportEvery is the longest time between two reports.
+	reportEvery = time.Second
+	callTimeout = 2 * time.Second
+)
+
+// Caller reaches the leader and knows the view.
+type Caller interface {
+	Call(ctx context.Context, method string, params, result any) error
+	View() view.View
+}
+
+// Reporter reports. Set the exported fields before Run.
+type Reporter struct {
+	Self     string
+	Zone     weir.Zone
+	Started  time.Time
+	Table    *place.Table
+	Follower Caller
+	Clock    weir.Clock
+	Logger   log.Logger
+
+	lastAt   time.Time
+	lastView uint64
+	full     bool
+}
+
+// String is the step's name in logs.
+func (rp *Reporter) String() string { return "reporter" }
+
+// Default makes the first report a full one.
+func (rp *Reporter) Default() error {
+	rp.full = true
+	return nil
+}
+
+// Run reports changes at once and everything else once a second.
+func (rp *Reporter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			rp.tick(ctx)
+		}
+	}
+}
+
+func (rp *Reporter) tick(ctx context.Context) {
+	now := rp.Clock.Now()
+	vw := rp.Follower.View()
+	full := rp.full
+	rep := peerapi.Report{
+		Entry: rp.Self, Zone: rp.Zone, Started: rp.Started, View: vw.Index, Number: vw.Number, Full: full,
+		Statuses: rp.Table.Sweep(rp.Self, full), Consents: rp.Table.Consents(rp.Self), Usage: rp.Table.Usage(),
+	}
+	urgent := len(rep.Statuses) > 0 || len(rep.Consents) > 0 || vw.Index != rp.lastView
+	if !urgent && now.Sub(rp.lastAt) < reportEvery {
+		return
+	}
+	rep.Demand = rp.Table.Demand()
+	rp.send(ctx, rep, now)
+}
+
+func (rp *Reporter) send(ctx context.Context, rep peerapi.Report, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var ans peerapi.ReportAnswer
+	if err := rp.Follower.Call(ctx, peerapi.EntryReport, rep, &ans); err != nil {
+		rp.Table.Resend(rep.Statuses)
+		rp.full = true
+		_ = rp.Logger.Log("level", "debug", "msg", "report not delivered", "err", err.Error())
+		return
+	}
+	rp.lastAt = now
+	rp.lastView = rep.View
+	rp.full = ans.WantFull
+	rp.Table.Settle(ans.Acked)
+}
--- /dev/null
+++ b/internal/entry/serve/serve.go
@@ -0,0 +1,149 @@
+// Package serve answers endpoints and the other entry instances.
+//
+// Usage:
+//
+//	sv := &serve.Service{Dispatcher: dp, Table: tb, Store: st, Mesh: ms, Clock: clk}
+//	server := &peer.Server{Addr: addr, Token: token, Handle: sv.Handle}
+//	announcements := &serve.Announcements{Addr: addr, Table: tb}
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/endpoint"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/entry/dispatch"
+	"greengageweir/internal/entry/ledger"
+	"greengageweir/internal/entry/mesh"
+	"greengageweir/internal/entry/place"
+	"greengageweir/internal/link/peer"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindListen says that the address cannot be listened on.
+const KindListen Kind = "cannot listen"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Service answers the other entry instances. Set the exported fields first.
+type Service struct {
+	Dispatcher *dispatch.Dispatcher
+	Table      *place.Table
+	Store      *ledger.Store
+	Mesh       *mesh.Mesh
+	Clock      weir.Clock
+}
+
+// Handle implements peer.Handler.
+func (sv *Service) Handle(ctx context.Context, call peer.Call) (any, error) {
+	switch call.Method {
+	case peerapi.EntryCall:
+		var params dispatch.CallParams
+		if err := call.Decode(&params); err != nil {
+			return nil, err
+		}
+		return sv.Dispatcher.Lead(ctx, params.Request), nil
+	case peerapi.EntryRun:
+		var params dispatch.CallParams
+		if err := call.Decode(&params); err != nil {
+			return nil, err
+		}
+		return sv.Dispatcher.Run(ctx, params.Request), nil
+	case peerapi.EntryAdvert:
+		var ad peerapi.Advert
+		if err := call.Decode(&ad); err != nil {
+			return nil, err
+		}
+		sv.Mesh.Advertised(ad)
+		return nil, nil
+	}
+	return sv.handleLedger(ctx, call)
+}
+
+func (sv *Service) handleLedger(ctx context.Context, call peer.Call) (any, error) {
+	switch call.Method {
+	case peerapi.LedgerReserve:
+		var res peerapi.Reserve
+		if err := call.Decode(&res); err != nil {
+			return nil, err
+		}
+		return sv.Store.Reserve(sv.Clock.Now(), res), nil
+	case peerapi.LedgerFinish:
+		var fin peerapi.Finish
+		if err := call.Decode(&fin); err != nil {
+			return nil, err
+		}
+		sv.Store.Finish(fin)
+		return struct{}{}, nil
+	case peerapi.LedgerJoin:
+		var jo peerapi.Join
+		if err := call.Decode(&jo); err != nil {
+			return nil, err
+		}
+		return sv.Dispatcher.Join(ctx, jo), nil
+	case peerapi.LedgerDump:
+		var du peerapi.Dump
+		if err := call.Decode(&du); err != nil {
+			return nil, err
+		}
+		return sv.Store.Dump(sv.Clock.Now(), du.After), nil
+	}
+	return nil, peer.Unknown(call.Method)
+}
+
+const (
+	maxAnnouncement = "1M"
+	stopPatience    = time.Second
+)
+
+// Announcements is the endpoints' listener. Set the exported fields before
+// Run.
+type Announcements struct {
+	Addr  string
+	Table *place.Table
+
+	listener net.Listener
+	server   *http.Server
+}
+
+// String is the step's name in logs.
+func (an *Announcements) String() string { return "endpoints' server" }
+
+// Default opens the listener.
+func (an *Announcements) Default() error {
+	lis, err := net.Listen("tcp", an.Addr)
+	if err != nil {
+		return &Error{Op: "endpoints' server", Kind: KindListen, Err: err}
+	}
+	an.listener = lis
+	ech := ops.NewEcho()
+	ech.Use(middleware.BodyLimit(maxAnnouncement))
+	ech.POST(endpoint.PathAnnounce, an.announce)
+	an.server = ops.NewHTTPServer(ech)
+	return nil
+}
+
+// Run serves until the context ends.
+func (an *Announcements) Run(ctx context.Context) error {
+	return ops.Serve(ctx, an.server, an.listener, stopPatience)
+}
+
+func (an *Announcements) announce(ctx echo.Context) error {
+	var ann endpoint.Announcement
+	if err := ctx.Bind(&ann); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	return ctx.JSON(http.StatusOK, an.Table.Announce(ann))
+}
--- /dev/null
+++ b/internal/fleet/machine/drain.go
@@ -0,0 +1,202 @@
+package machine
+
+import (
+	"fmt"
+
+	weir "greengageweir"
+	"greengageweir/internal/duty/invariant"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/view"
+)
+
+// serving returns a member that serves and is up, or the refusal that says
+// why it is not so.
+func (st *state) serving(id weir.InstanceID) (view.Member, *command.Answer) {
+	mem, ok := st.Members[id]
+	var ans command.Answer
+	switch {
+	case !ok:
+		ans = refuse(command.RefusedUnknown, "no instance is named %s", id)
+	case mem.Phase != view.Serving:
+		ans = refuse(command.RefusedState, "instance %s is %s", id, mem.Phase)
+	case !st.Statuses[id].Up:
+		ans = refuse(command.RefusedState, "instance %s is not up", id)
+	default:
+		return mem, nil
+	}
+	return mem, &ans
+}
+
+// startDrain begins a planned disruption of a serving member, if the budget
+// of its pool allows it.
+func (st *state) startDrain(mem view.Member, cmd command.Command, ch *change) command.Answer {
+	left := st.available[mem.Pool] - 1
+	want := st.Config.Pools[mem.Pool].MinAvailable
+	if left < want {
+		return refuse(command.RefusedBudget, "pool %s would have %d instances, its budget is %d", mem.Pool, left, want)
+	}
+	st.enter(mem, view.Draining, cmd, ch)
+	invariant.Check(st.available[mem.Pool] >= want, "budgetHolds",
+		"pool", mem.Pool, "available", st.available[mem.Pool], "budget", want)
+	return command.Answer{}
+}
+
+func (st *state) applyMove(cmd command.Command, ch *change) command.Answer {
+	mv := cmd.Move
+	mem, bad := st.serving(mv.Instance)
+	if bad != nil {
+		return *bad
+	}
+	if _, ok := st.Config.Pools[mv.To]; !ok {
+		return refuse(command.RefusedUnknown, "no pool is named %s", mv.To)
+	}
+	if mem.Pool == mv.To {
+		return refuse(command.RefusedState, "instance %s is in pool %s already", mv.Instance, mv.To)
+	}
+	mem.Purpose = view.ForMove
+	mem.To = mv.To
+	mem.Lent = mv.Lent
+	return st.startDrain(mem, cmd, ch)
+}
+
+func (st *state) applyRetire(cmd command.Command, ch *change) command.Answer {
+	id := cmd.Retire.Instance
+	mem, ok := st.Members[id]
+	if ok && mem.Home != "" {
+		return refuse(command.RefusedState, "instance %s is in the configuration", id)
+	}
+	if ok && mem.Phase == view.Serving && !st.Statuses[id].Up {
+		st.dropMember(id)
+		ch.gone = append(ch.gone, id)
+		return command.Answer{}
+	}
+	mem, bad := st.serving(id)
+	if bad != nil {
+		return *bad
+	}
+	mem.Purpose = view.ForRetirement
+	return st.startDrain(mem, cmd, ch)
+}
+
+func (st *state) applyPermit(cmd command.Command, ch *change) command.Answer {
+	pg := cmd.Permit
+	wave, ok := st.Waves[pg.Wave]
+	if !ok {
+		return refuse(command.RefusedUnknown, "no wave is named %s", pg.Wave)
+	}
+	if wave.State != WaveRunning || !wave.Todo[pg.Instance] {
+		return refuse(command.RefusedState, "wave %s is %s or does not wait for %s", pg.Wave, wave.State, pg.Instance)
+	}
+	if len(wave.Active) >= wave.MaxParallel {
+		return refuse(command.RefusedState, "wave %s has %d instances in work", pg.Wave, len(wave.Active))
+	}
+	mem, bad := st.serving(pg.Instance)
+	if bad != nil {
+		return *bad
+	}
+	mem.Purpose = view.ForMaintenance
+	mem.Wave = pg.Wave
+	mem.Operation = fmt.Sprintf("%s/%s/%d", pg.Wave, pg.Instance, ch.index)
+	ans := st.startDrain(mem, cmd, ch)
+	if ans.Refusal == nil {
+		delete(wave.Todo, pg.Instance)
+		wave.Active[pg.Instance] = true
+	}
+	return ans
+}
+
+// applyConsent completes a drain. Only the instance's present owner can give
+// it, and only for a view that includes the drain.
+func (st *state) applyConsent(cmd command.Command, ch *change) command.Answer {
+	co := cmd.Consent
+	mem, ok := st.Members[co.Instance]
+	if !ok || mem.Phase != view.Draining {
+		return refuse(command.RefusedState, "instance %s is not draining", co.Instance)
+	}
+	sta := st.Statuses[co.Instance]
+	if co.View < mem.Since || co.Incarnation != sta.Incarnation || co.Epoch != sta.Epoch || co.Entry != sta.Entry {
+		return refuse(command.RefusedStale, "consent for %s is of an earlier view or owner", co.Instance)
+	}
+	switch mem.Purpose {
+	case view.ForMove:
+		mem.Pool = mem.To
+		if mem.Pool == mem.Home {
+			mem.Lent = false
+		}
+		st.Moves++
+		st.enter(mem, view.Serving, cmd, ch)
+	case view.ForRetirement:
+		st.dropMember(co.Instance)
+		ch.gone = append(ch.gone, co.Instance)
+	default:
+		mem.OldIncarnation = sta.Incarnation
+		st.enter(mem, view.Drained, cmd, ch)
+	}
+	return command.Answer{}
+}
+
+// applyAbandon takes back a drain that is not complete.
+func (st *state) applyAbandon(cmd command.Command, ch *change) command.Answer {
+	id := cmd.Abandon.Instance
+	mem, ok := st.Members[id]
+	if !ok || mem.Phase != view.Draining {
+		return refuse(command.RefusedState, "instance %s is not draining", id)
+	}
+	if wave, ok := st.Waves[mem.Wave]; ok {
+		delete(wave.Active, id)
+		if wave.State != WaveAborted {
+			wave.Todo[id] = true
+		}
+	}
+	if mem.Purpose == view.ForMove && mem.Pool == mem.Home {
+		mem.Lent = false
+	}
+	st.enter(mem, view.Serving, cmd, ch)
+	return command.Answer{}
+}
+
+func (st *state) applyReboot(cmd command.Command, ch *change) command.Answer {
+	mem, ok := st.Members[cmd.Reboot.Instance]
+	if !ok || mem.Phase != view.Drained || mem.Operation != cmd.Reboot.Operation {
+		return refuse(command.RefusedState, "instance %s does not wait for %s", cmd.Reboot.Instance, cmd.Reboot.Operation)
+	}
+	st.enter(mem, view.Returning, cmd, ch)
+	return command.Answer{}
+}
+
+// applyRelease returns a rebooted instance, which must be up as a newer
+// incarnation than the one that was rebooted.
+func (st *state) applyRelease(cmd command.Command, ch *change) command.Answer {
+	id := cmd.Release.Instance
+	mem, ok := st.Members[id]
+	sta := st.Statuses[id]
+	if !ok || mem.Phase != view.Returning || !sta.Up || sta.Incarnation <= mem.OldIncarnation {
+		return refuse(command.RefusedState, "instance %s has not come back", id)
+	}
+	if wave, ok := st.Waves[mem.Wave]; ok {
+		delete(wave.Active, id)
+		delete(wave.Stuck, id)
+		wave.Done[id] = true
+		wave.end(cmd.At)
+	}
+	st.enter(mem, view.Serving, cmd, ch)
+	return command.Answer{}
+}
+
+// applyStuck lets the wave go on without an instance that did not come back;
+// the instance stays out of its pool's availability.
+func (st *state) applyStuck(cmd command.Command, ch *change) command.Answer {
+	id := cmd.Stuck.Instance
+	mem, ok := st.Members[id]
+	if !ok || mem.Phase != view.Returning || mem.Stuck {
+		return refuse(command.RefusedState, "instance %s is not returning", id)
+	}
+	mem.Stuck = true
+	st.putMember(mem, ch)
+	if wave, ok := st.Waves[mem.Wave]; ok {
+		delete(wave.Active, id)
+		wave.Stuck[id] = true
+		wave.end(cmd.At)
+	}
+	return command.Answer{}
+}
--- /dev/null
+++ b/internal/fleet/machine/reader.go
@@ -0,0 +1,86 @@
+package machine
+
+import (
+	"sort"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/view"
+)
+
+// Reader reads the state inside Machine.Read. The maps that it returns are
+// shared and must neither be changed nor kept.
+type Reader struct{ st *state }
+
+// PoolStatus is the size and availability of a pool.
+type PoolStatus struct {
+	Name         weir.PoolName `json:"name"`
+	Size         int           `json:"size"`
+	Available    int           `json:"available"`
+	MinAvailable int           `json:"minAvailable"`
+	Spare        bool          `json:"spare,omitempty"`
+}
+
+// Index returns the last applied index.
+func (rd Reader) Index() uint64 { return rd.st.Index }
+
+// EffectIndex returns the index of the last effect on views.
+func (rd Reader) EffectIndex() uint64 { return rd.st.EffectIndex }
+
+// Number returns the number of the configuration in force.
+func (rd Reader) Number() uint64 { return rd.st.Number }
+
+// Config returns the configuration in force.
+func (rd Reader) Config() model.Config { return rd.st.Config }
+
+// History returns the last changes of the configuration, oldest first.
+func (rd Reader) History() []Change { return append([]Change{}, rd.st.History...) }
+
+// Members returns all members.
+func (rd Reader) Members() map[weir.InstanceID]view.Member { return rd.st.Members }
+
+// Statuses returns what is known of all instances.
+func (rd Reader) Statuses() map[weir.InstanceID]command.Status { return rd.st.Statuses }
+
+// Moves returns how many moves between pools were completed.
+func (rd Reader) Moves() uint64 { return rd.st.Moves }
+
+// Processes returns the zones of the entry instances that are known.
+func (rd Reader) Processes() map[string]weir.Zone { return rd.st.Processes }
+
+// Usage returns the settled usage.
+func (rd Reader) Usage() []UsageLine { return rd.st.usageLines() }
+
+// Headroom returns how many more instances of a pool may be disrupted.
+func (rd Reader) Headroom(pool weir.PoolName) int {
+	return rd.st.available[pool] - rd.st.Config.Pools[pool].MinAvailable
+}
+
+// Pools returns the status of all pools by name.
+func (rd Reader) Pools() []PoolStatus {
+	pools := make([]PoolStatus, 0, len(rd.st.Config.Pools))
+	for name, pol := range rd.st.Config.Pools {
+		pools = append(pools, PoolStatus{
+			Name: name, Size: rd.st.sizes[name], Available: rd.st.available[name],
+			MinAvailable: pol.MinAvailable, Spare: pol.Spare,
+		})
+	}
+	sort.Slice(pools, func(a, b int) bool { return pools[a].Name < pools[b].Name })
+	return pools
+}
+
+// Waves returns all waves, oldest first.
+func (rd Reader) Waves() []*Wave {
+	waves := make([]*Wave, 0, len(rd.st.Waves))
+	for _, wave := range rd.st.Waves {
+		waves = append(waves, wave)
+	}
+	sort.Slice(waves, func(a, b int) bool {
+		if waves[a].CreatedAt.Equal(waves[b].CreatedAt) {
+			return waves[a].Name < waves[b].Name
+		}
+		return waves[a].CreatedAt.Before(waves[b].CreatedAt)
+	})
+	return waves
+}
--- /dev/null
+++ b/internal/fleet/machine/report.go
@@ -0,0 +1,97 @@
+package machine
+
+import (
+	"sort"
+
+	"greengageweir/internal/fleet/command"
+)
+
+// applyStatus takes reports about instances. Reports of an earlier
+// incarnation or lease are ignored.
+func (st *state) applyStatus(cmd command.Command) command.Answer {
+	for _, sta := range cmd.Status.Items {
+		if _, ok := st.Members[sta.Instance]; !ok {
+			continue
+		}
+		old := st.Statuses[sta.Instance]
+		if sta.Incarnation < old.Incarnation {
+			continue
+		}
+		if sta.Incarnation == old.Incarnation && sta.Epoch < old.Epoch {
+			continue
+		}
+		st.setStatus(sta)
+	}
+	return command.Answer{}
+}
+
+// applyProcess keeps the list of entry instances that a change of the
+// configuration must reach.
+func (st *state) applyProcess(cmd command.Command) command.Answer {
+	pr := cmd.Process
+	if _, ok := st.Processes[pr.ID]; pr.Forget && !ok {
+		return refuse(command.RefusedUnknown, "no process is named %s", pr.ID)
+	}
+	if pr.Forget {
+		delete(st.Processes, pr.ID)
+		return command.Answer{}
+	}
+	st.Processes[pr.ID] = pr.Zone
+	return command.Answer{}
+}
+
+// applyUsage counts each report once: the reports of an incarnation must come
+// in sequence, and those that were counted before are acknowledged again.
+func (st *state) applyUsage(cmd command.Command) command.Answer {
+	ans := command.Answer{}
+	for _, rep := range cmd.Usage.Reports {
+		mk := st.Marks[rep.Instance]
+		if rep.Incarnation > mk.Incarnation {
+			mk = mark{Incarnation: rep.Incarnation, OldInc: mk.Incarnation, OldSeq: mk.Sequence}
+		}
+		var last *uint64
+		switch rep.Incarnation {
+		case mk.Incarnation:
+			last = &mk.Sequence
+		case mk.OldInc:
+			last = &mk.OldSeq
+		default:
+			continue
+		}
+		if rep.Sequence == *last+1 {
+			*last = rep.Sequence
+			st.addUsage(rep)
+		}
+		ans.Acked = append(ans.Acked, command.UsageMark{Instance: rep.Instance, Incarnation: rep.Incarnation, Sequence: *last})
+		st.Marks[rep.Instance] = mk
+	}
+	return ans
+}
+
+func (st *state) addUsage(rep command.UsageReport) {
+	for _, total := range rep.Totals {
+		key := usageKey{total.Service, total.Team}
+		sum, ok := st.usage[key]
+		if !ok {
+			sum = &Totals{}
+			st.usage[key] = sum
+		}
+		sum.Done += total.Done
+		sum.Failed += total.Failed
+		sum.BusyMillis += total.BusyMillis
+	}
+}
+
+func (st *state) usageLines() []UsageLine {
+	lines := make([]UsageLine, 0, len(st.usage))
+	for key, sum := range st.usage {
+		lines = append(lines, UsageLine{Service: key.service, Team: key.team, Totals: *sum})
+	}
+	sort.Slice(lines, func(a, b int) bool {
+		if lines[a].Service != lines[b].Service {
+			return lines[a].Service < lines[b].Service
+		}
+		return lines[a].Team < lines[b].Team
+	})
+	return lines
+}
--- /dev/null
+++ b/internal/fleet/machine/state.go
@@ -0,0 +1,168 @@
+package machine
+
+import (
+	"time"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/fleet/command"
+	"greengageweir/internal/fleet/view"
+)
+
+// WaveState is the state of a maintenance wave.
+type WaveState string
+
+// The states of a wave.
+const (
+	WaveRunning WaveState = "running"
+	WavePaused  WaveState = "paused"
+	WaveAborted WaveState = "aborted"
+	WaveDone    WaveState = "done"
+)
+
+// Wave is one maintenance wave.
+type Wave struct {
+	Name        string                   `json:"name"`
+	State       WaveState                `json:"state"`
+	MaxParallel int                      `json:"maxParallel"`
+	Todo        map[weir.InstanceID]bool `json:"todo"`
+	Active      map[weir.InstanceID]bool `json:"active"`
+	Done        map[weir.InstanceID]bool `json:"done"`
+	Stuck       map[weir.InstanceID]bool `json:"stuck"`
+	CreatedAt   time.Time                `json:"createdAt"`
+	EndedAt     time.Time                `json:"endedAt"`
+}
+
+// Change is one line of the configuration's history.
+type Change struct {
+	Number    uint64    `json:"number"`
+	Index     uint64    `json:"index"`
+	Checksum  string    `json:"checksum"`
+	Operator  string    `json:"operator"`
+	RequestID string    `json:"requestId"`
+	At        time.Time `json:"at"`
+	Note      string    `json:"note,omitempty"`
+}
+
+// Totals is settled usage.
+type Totals struct {
+	Done       uint64 `json:"done"`
+	Failed     uint64 `json:"failed"`
+	BusyMillis uint64 `json:"busyMillis"`
+}
+
+// usageKey names a line of the usage table.
+type usageKey struct {
+	service weir.ServiceName
+	team    weir.TeamName
+}
+
+// UsageLine is a line of the usage table.
+type UsageLine struct {
+	Service weir.ServiceName `json:"service"`
+	Team    weir.TeamName    `json:"team,omitempty"`
+	Totals
+}
+
+// mark is the last settled report of an instance. The incarnation before the
+// present one is kept, since its last reports may be late.
+type mark struct {
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	OldInc      uint64 `json:"oldInc,omitempty"`
+	OldSeq      uint64 `json:"oldSeq,omitempty"`
+}
+
+// request is a remembered operator request.
+type request struct {
+	ID     string         `json:"id"`
+	Answer command.Answer `json:"answer"`
+}
+
+// state is everything that the log decides; it is what snapshots hold.
+type state struct {
+	Index       uint64                             `json:"index"`
+	EffectIndex uint64                             `json:"effectIndex"`
+	Number      uint64                             `json:"number"`
+	Config      model.Config                       `json:"config"`
+	History     []Change                           `json:"history"`
+	Members     map[weir.InstanceID]view.Member    `json:"members"`
+	Statuses    map[weir.InstanceID]command.Status `json:"statuses"`
+	Waves       map[string]*Wave                   `json:"waves"`
+	Usage       []UsageLine                        `json:"usage"`
+	Marks       map[weir.InstanceID]mark           `json:"marks"`
+	Requests    []request                          `json:"requests"`
+	Moves       uint64                             `json:"moves"`
+	Processes   map[string]weir.Zone               `json:"processes"`
+
+	usage    map[usageKey]*Totals
+	requests map[string]command.Answer
+	// available counts the members of each pool that serve and are up, sizes
+	// all its members.
+	available map[weir.PoolName]int
+	sizes     map[weir.PoolName]int
+}
+
+func newState() *state {
+	st := &state{
+		Members: map[weir.InstanceID]view.Member{}, Statuses: map[weir.InstanceID]command.Status{},
+		Waves: map[string]*Wave{}, Marks: map[weir.InstanceID]mark{},
+		Processes: map[string]weir.Zone{},
+	}
+	st.index()
+	return st
+}
+
+// index builds what is derived from the stored fields.
+func (st *state) index() {
+	st.usage = make(map[usageKey]*Totals, len(st.Usage))
+	for _, line := range st.Usage {
+		totals := line.Totals
+		st.usage[usageKey{line.Service, line.Team}] = &totals
+	}
+	st.requests = make(map[string]command.Answer, len(st.Requests))
+	for _, req := range st.Requests {
+		st.requests[req.ID] = req.Answer
+	}
+	st.available = make(map[weir.PoolName]int)
+	st.sizes = make(map[weir.PoolName]int)
+	for id := range st.Members {
+		st.count(id, 1)
+	}
+}
+
+// isAvailable reports whether an instance counts for its pool's budget.
+func (st *state) isAvailable(id weir.InstanceID) bool {
+	return st.Members[id].Phase == view.Serving && st.Statuses[id].Up
+}
+
+// count adds an instance to, or takes it from, its pool's counters. Call it
+// with -1 before and +1 after each change of a member or its status.
+func (st *state) count(id weir.InstanceID, by int) {
+	mem, ok := st.Members[id]
+	if !ok {
+		return
+	}
+	st.sizes[mem.Pool] += by
+	if st.isAvailable(id) {
+		st.available[mem.Pool] += by
+	}
+}
+
+func (st *state) setMember(mem view.Member) {
+	st.count(mem.Instance, -1)
+	st.Members[mem.Instance] = mem
+	st.count(mem.Instance, 1)
+}
+
+func (st *state) dropMember(id weir.InstanceID) {
+	st.count(id, -1)
+	delete(st.Members, id)
+	delete(st.Statuses, id)
+}
+
+func (st *state) setStatus(sta command.Status) {
+	st.count(sta.Instance, -1)
+	st.Statuses[sta.Instance] = sta
+	st.count(sta.Instance, 1)
+}
--- /dev/null
+++ b/internal/link/httpconn/httpconn.go
@@ -0,0 +1,215 @@
+// Package httpconn sends one HTTP request to an endpoint and tells truthfully
+// what became of it. It keeps idle connections, but puts a request that must
+// not be repeated only on a connection that has proven itself within
+// ProofAge; otherwise it dials a new one.
+//
+// Usage:
+//
+//	pl := httpconn.NewPool("127.0.0.1:9000", 64, clk)
+//	resp, err := pl.Do(ctx, req, false)
+//	fault.Is(err, httpconn.KindNotSent) // the endpoint certainly got nothing
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
+	"greengageweir/internal/duty/fault"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindNotSent says that not one byte of the request was handed over.
+	KindNotSent Kind = "not sent"
+	// KindBroken says that the endpoint may have got the request.
+	KindBroken Kind = "connection broken after sending"
+	// KindTooLarge says that the answer is longer than is carried.
+	KindTooLarge Kind = "answer too large"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// ProofAge is how long a connection counts as proven after it answered.
+	ProofAge = time.Second
+	// MaxBodyBytes bounds the body of an answer.
+	MaxBodyBytes = 4 << 20
+
+	dialTimeout = 500 * time.Millisecond
+	idleAge     = 30 * time.Second
+	bufferBytes = 8 << 10
+)
+
+// Response is a whole answer of an endpoint.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Pool holds the connections to one endpoint.
+type Pool struct {
+	addr  string
+	clk   weir.Clock
+	limit chan struct{}
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// conn is one connection; provenAt is when it last gave a whole answer.
+type conn struct {
+	net.Conn
+	rd       *bufio.Reader
+	wr       *bufio.Writer
+	sent     *countingWriter
+	provenAt time.Time
+}
+
+// countingWriter counts the bytes that were handed to the socket.
+type countingWriter struct {
+	wr    io.Writer
+	count int
+}
+
+// Write implements io.Writer.
+func (cw *countingWriter) Write(buf []byte) (int, error) {
+	n, err := cw.wr.Write(buf)
+	cw.count += n
+	return n, err
+}
+
+// NewPool returns a pool that never has more than limit connections in use.
+func NewPool(addr string, limit int, clk weir.Clock) *Pool {
+	return &Pool{addr: addr, clk: clk, limit: make(chan struct{}, limit)}
+}
+
+// Close closes idle connections; those in use are closed when they are done.
+func (pl *Pool) Close() {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.closed = true
+	for _, cn := range pl.idle {
+		_ = cn.Close()
+	}
+	pl.idle = nil
+}
+
+// Do sends the request and reads the whole answer.
+func (pl *Pool) Do(ctx context.Context, req *http.Request, repeatable bool) (*Response, error) {
+	select {
+	case pl.limit <- struct{}{}:
+	default:
+		return nil, &Error{Op: "connect " + pl.addr, Kind: KindNotSent, Err: errors.New("all connections in use")}
+	}
+	defer func() { <-pl.limit }()
+	cn, err := pl.take(ctx, repeatable)
+	if err != nil {
+		return nil, &Error{Op: "connect " + pl.addr, Kind: KindNotSent, Err: err}
+	}
+	resp, reusable, err := pl.exchange(ctx, cn, req)
+	if err != nil || !reusable {
+		_ = cn.Close()
+		return resp, err
+	}
+	pl.give(cn)
+	return resp, nil
+}
+
+// take returns an idle connection that is proven, or a new one.
+func (pl *Pool) take(ctx context.Context, repeatable bool) (*conn, error) {
+	now := pl.clk.Now()
+	maxAge := ProofAge
+	if repeatable {
+		maxAge = idleAge
+	}
+	pl.mu.Lock()
+	for len(pl.idle) > 0 {
+		cn := pl.idle[len(pl.idle)-1]
+		pl.idle = pl.idle[:len(pl.idle)-1]
+		if now.Sub(cn.provenAt) <= maxAge {
+			pl.mu.Unlock()
+			return cn, nil
+		}
+		_ = cn.Close()
+	}
+	pl.mu.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", pl.addr)
+	if err != nil {
+		return nil, err
+	}
+	sent := &countingWriter{wr: raw}
+	return &conn{Conn: raw, rd: bufio.NewReaderSize(raw, bufferBytes), wr: bufio.NewWriterSize(sent, bufferBytes), sent: sent}, nil
+}
+
+func (pl *Pool) give(cn *conn) {
+	cn.provenAt = pl.clk.Now()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if pl.closed {
+		_ = cn.Close()
+		return
+	}
+	pl.idle = append(pl.idle, cn)
+}
+
+// exchange writes the request and reads the answer. The connection is closed
+// when the context ends, which frees a call on a silent connection.
+func (pl *Pool) exchange(ctx context.Context, cn *conn, req *http.Request) (*Response, bool, error) {
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	defer stop()
+	cn.sent.count = 0
+	err := req.Write(cn.wr)
+	if err == nil {
+		err = cn.wr.Flush()
+	}
+	if err != nil {
+		return nil, false, &Error{Op: "send to " + pl.addr, Kind: sendKind(cn.sent.count), Err: err}
+	}
+	raw, err := http.ReadResponse(cn.rd, req)
+	if err != nil {
+		return nil, false, &Error{Op: "read from " + pl.addr, Kind: KindBroken, Err: err}
+	}
+	defer func() { _ = raw.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(raw.Body, MaxBodyBytes+1))
+	if err != nil {
+		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindBroken, Err: err}
+	}
+	if len(body) > MaxBodyBytes {
+		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindTooLarge}
+	}
+	// An answer without a length ends with the connection, so that a cut one
+	// cannot be told from a whole one.
+	if raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 && bodyAllowed(raw.StatusCode) {
+		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindBroken, Err: errors.New("answer without a length")}
+	}
+	if !stop() {
+		return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body}, false, nil
+	}
+	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body}, !raw.Close, nil
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func sendKind(sent int) Kind {
+	if sent == 0 {
+		return KindNotSent
+	}
+	return KindBroken
+}
--- /dev/null
+++ b/internal/link/peer/client.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	redialMin = 50 * time.Millisecond
+	redialMax = time.Second
+)
+
+// Client keeps one link to a server, dialling again when it breaks. Set the
+// exported fields before Run.
+type Client struct {
+	Addr  string
+	Token string
+	Self  Identity
+	// Handle answers notifications that the server sends; it may be nil.
+	Handle Handler
+
+	mu   sync.Mutex
+	conn *jsonrpc2.Conn
+}
+
+// String is the step's name in logs.
+func (cl *Client) String() string { return "link to " + cl.Addr }
+
+// Default checks the settings.
+func (cl *Client) Default() error {
+	if cl.Addr == "" || cl.Token == "" {
+		return &Error{Op: "peer client", Kind: KindDenied, Err: errors.New("address or token missing")}
+	}
+	return nil
+}
+
+// Run keeps the link up until the context ends.
+func (cl *Client) Run(ctx context.Context) error {
+	wait := redialMin
+	for ctx.Err() == nil {
+		if cl.session(ctx) {
+			wait = redialMin
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, redialMax)
+	}
+	return nil
+}
+
+// session dials, greets and keeps the link until it breaks. It reports whether
+// the link was up.
+func (cl *Client) session(ctx context.Context) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", cl.Addr)
+	if err != nil {
+		return false
+	}
+	stream := jsonrpc2.NewBufferedStream(newGuardedConn(raw), frameCodec{})
+	conn := jsonrpc2.NewConn(ctx, stream, &clientHandler{cl: cl}, jsonrpc2.SetLogger(quiet{}))
+	defer func() { _ = conn.Close() }()
+	if err := timedCall(ctx, conn, methodHello, hello{Version: ProtocolVersion, Token: cl.Token, Self: cl.Self}); err != nil {
+		return false
+	}
+	cl.setConn(conn)
+	defer cl.setConn(nil)
+	cl.beat(ctx, conn)
+	return true
+}
+
+// beat sends heartbeats until one is not answered in time.
+func (cl *Client) beat(ctx context.Context, conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(BeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-conn.DisconnectNotify():
+			return
+		case <-ticker.C:
+			if timedCall(ctx, conn, methodBeat, nil) != nil {
+				return
+			}
+		}
+	}
+}
+
+func timedCall(ctx context.Context, conn *jsonrpc2.Conn, method string, params any) error {
+	ctx, cancel := context.WithTimeout(ctx, SilentAfter)
+	defer cancel()
+	return conn.Call(ctx, method, params, nil)
+}
+
+func (cl *Client) setConn(conn *jsonrpc2.Conn) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.conn = conn
+}
+
+// Conn returns the present connection, nil while the link is down.
+func (cl *Client) Conn() *jsonrpc2.Conn {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.conn
+}
+
+// Ready reports whether the link is up.
+func (cl *Client) Ready() bool { return cl.Conn() != nil }
+
+// Call sends a request and waits for its result.
+func (cl *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn := cl.Conn()
+	if conn == nil {
+		return &Error{Op: method, Kind: KindNotSent}
+	}
+	err := conn.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	var remote *jsonrpc2.Error
+	if errors.As(err, &remote) {
+		return &Error{Op: method, Kind: KindRemote, Err: remote}
+	}
+	// The library does not tell whether a broken link had sent the request.
+	return &Error{Op: method, Kind: KindLost, Err: err}
+}
+
+// Notify sends a notification; it is dropped where the link is down.
+func (cl *Client) Notify(ctx context.Context, method string, params any) error {
+	conn := cl.Conn()
+	if conn == nil {
+		return &Error{Op: method, Kind: KindNotSent}
+	}
+	if err := conn.Notify(ctx, method, params); err != nil {
+		return &Error{Op: method, Kind: KindLost, Err: err}
+	}
+	return nil
+}
+
+// clientHandler handles what the server sends on a client's link.
+type clientHandler struct{ cl *Client }
+
+// Handle implements jsonrpc2.Handler.
+func (ch *clientHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if ch.cl.Handle == nil {
+		return
+	}
+	call := Call{Method: req.Method, Conn: conn}
+	if req.Params != nil {
+		call.Params = *req.Params
+	}
+	result, err := ch.cl.Handle(ctx, call)
+	if !req.Notif {
+		answer(ctx, conn, req.ID, result, err)
+	}
+}
--- /dev/null
+++ b/internal/link/peer/peer.go
@@ -0,0 +1,99 @@
+// Package peer links the system's own processes: JSON-RPC 2.0 over TCP with a
+// bounded frame, a greeting that proves the peer token, and heartbeats, so
+// that a link that has gone silent is replaced within SilentAfter.
+//
+// Usage:
+//
+//	srv := &peer.Server{Addr: "127.0.0.1:7000", Token: token, Handle: handle}
+//	cl := &peer.Client{Addr: "127.0.0.1:7000", Token: token, Self: self}
+//	err := cl.Call(ctx, "view.report", params, &result)
+//	fault.Is(err, peer.KindNotSent) // the other side certainly did not get it
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"greengageweir/internal/duty/fault"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindNotSent says that the request certainly did not reach the other side.
+	KindNotSent Kind = "not sent"
+	// KindLost says that the request may have been handled.
+	KindLost     Kind = "reply lost"
+	KindRemote   Kind = "refused by the other side"
+	KindTooLarge Kind = "frame too large"
+	KindDenied   Kind = "not a peer"
+	KindListen   Kind = "cannot listen"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// ProtocolVersion is sent in each greeting.
+	ProtocolVersion = 1
+	// BeatEvery is the time between heartbeats of a link.
+	BeatEvery = 300 * time.Millisecond
+	// SilentAfter is the time after which a link without an answer is closed.
+	SilentAfter = 1500 * time.Millisecond
+
+	methodHello = "link.hello"
+	methodBeat  = "link.beat"
+
+	dialTimeout = 500 * time.Millisecond
+	writeBuffer = 64 << 10
+)
+
+// Identity names a process.
+type Identity struct {
+	ID   string `json:"id"`
+	Role string `json:"role"`
+	Zone string `json:"zone"`
+}
+
+// hello is the first request on a link.
+type hello struct {
+	Version int      `json:"version"`
+	Token   string   `json:"token"`
+	Self    Identity `json:"self"`
+}
+
+// Call is one incoming request or notification.
+type Call struct {
+	From   Identity
+	Method string
+	Params json.RawMessage
+	// Conn can be used to send notifications back on the same link.
+	Conn *jsonrpc2.Conn
+}
+
+// Decode decodes the parameters of a call.
+func (ca Call) Decode(into any) error {
+	if err := json.Unmarshal(ca.Params, into); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+// Handler answers calls. Notifications are handled in order on the reading
+// goroutine and must not block.
+type Handler func(ctx context.Context, call Call) (any, error)
+
+// Unknown returns the error for a method that a process does not have.
+func Unknown(method string) error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + method}
+}
+
+func tokenEqual(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
--- /dev/null
+++ b/internal/standin/worker/host.go
@@ -0,0 +1,123 @@
+package worker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/labstack/echo/v4"
+
+	weir "greengageweir"
+	"greengageweir/internal/contract/platform"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+)
+
+// Host runs the workers of one zone in one process and stands in for the
+// zone's platform. Set the exported fields before Run.
+type Host struct {
+	PlatformAddr string
+	Workers      []*Worker
+	RebootTime   time.Duration
+	Logger       log.Logger
+
+	listener net.Listener
+	cancels  map[weir.InstanceID]context.CancelFunc
+}
+
+// String is the step's name in logs.
+func (ho *Host) String() string { return "worker host" }
+
+// Default opens the platform's listener.
+func (ho *Host) Default() error {
+	lis, err := net.Listen("tcp", ho.PlatformAddr)
+	if err != nil {
+		return &Error{Op: "worker host", Kind: KindListen, Err: err}
+	}
+	ho.listener = lis
+	ho.cancels = map[weir.InstanceID]context.CancelFunc{}
+	return nil
+}
+
+// Run serves until the context ends, then lets all workers leave.
+func (ho *Host) Run(ctx context.Context) error {
+	done := make(chan struct{}, len(ho.Workers))
+	for _, wk := range ho.Workers {
+		if err := wk.Default(); err != nil {
+			return err
+		}
+		wkCtx, cancel := context.WithCancel(ctx)
+		ho.cancels[wk.ID] = cancel
+		go func() {
+			if err := wk.Run(wkCtx); err != nil {
+				_ = ho.Logger.Log("level", "error", "msg", "worker ended", "instance", string(wk.ID), "err", err.Error())
+			}
+			done <- struct{}{}
+		}()
+	}
+	err := run.All(ctx, ho.Logger, &platformServer{ho: ho})
+	for range ho.Workers {
+		<-done
+	}
+	return err
+}
+
+// platformServer is the platform's HTTP interface.
+type platformServer struct{ ho *Host }
+
+// String is the step's name in logs.
+func (ps *platformServer) String() string { return "platform" }
+
+// Default has nothing to fill.
+func (ps *platformServer) Default() error { return nil }
+
+// Run serves until the context ends.
+func (ps *platformServer) Run(ctx context.Context) error {
+	ech := ops.NewEcho()
+	ech.POST("/v1/instances/:instance/reboot", ps.reboot)
+	ech.POST("/v1/instances/:instance/leave", ps.leave)
+	ech.POST("/v1/instances/:instance/failing/:on", ps.failing)
+	return ops.Serve(ctx, ops.NewHTTPServer(ech), ps.ho.listener, time.Second)
+}
+
+func (ps *platformServer) worker(ctx echo.Context) (*Worker, error) {
+	for _, wk := range ps.ho.Workers {
+		if string(wk.ID) == ctx.Param("instance") {
+			return wk, nil
+		}
+	}
+	return nil, echo.NewHTTPError(http.StatusNotFound, "no such instance")
+}
+
+func (ps *platformServer) reboot(ctx echo.Context) error {
+	wk, err := ps.worker(ctx)
+	if err != nil {
+		return err
+	}
+	var body platform.Reboot
+	if err := ctx.Bind(&body); err != nil {
+		return err
+	}
+	go wk.Reboot(body.Operation, ps.ho.RebootTime)
+	return ctx.NoContent(http.StatusAccepted)
+}
+
+func (ps *platformServer) leave(ctx echo.Context) error {
+	wk, err := ps.worker(ctx)
+	if err != nil {
+		return err
+	}
+	ps.ho.cancels[wk.ID]()
+	return ctx.NoContent(http.StatusAccepted)
+}
+
+func (ps *platformServer) failing(ctx echo.Context) error {
+	wk, err := ps.worker(ctx)
+	if err != nil {
+		return err
+	}
+	wk.SetFailing(ctx.Param("on") == "true")
+	return ctx.NoContent(http.StatusOK)
+}
--- /dev/null
+++ b/internal/state/node/node.go
@@ -0,0 +1,373 @@
+// Package node runs one member of the replicated log: it drives the replica's
+// state machine with time and messages, syncs what has to be synced, and
+// applies committed commands.
+//
+// Usage:
+//
+//	nd := &node.Node{ID: "c1", Members: ids, Dir: dir, Machine: sm, Send: send}
+//	go nd.Run(ctx)
+//	result, err := nd.Propose(ctx, command)
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/state/replica"
+	"greengageweir/internal/state/wal"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindNotLeader Kind = "not the leader"
+	KindBusy      Kind = "too many proposals wait"
+	// KindUnknown says that the command may or may not be committed later.
+	KindUnknown Kind = "outcome unknown, leadership changed"
+	KindSetting Kind = "bad setting"
+	KindStorage Kind = "storage failed"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	tickEvery        = 10 * time.Millisecond
+	defaultHeartbeat = 50 * time.Millisecond
+	defaultElection  = 500 * time.Millisecond
+	inboxSlots       = 4096
+	proposalSlots    = 4096
+	// batchSlots bounds the proposals and messages handled per sync.
+	batchSlots           = 1024
+	defaultSnapshotEvery = 8192
+)
+
+// Machine is the state machine that committed commands are applied to.
+type Machine interface {
+	// Apply applies a command and returns its answer.
+	Apply(index uint64, data []byte) any
+	// Skip tells of an index that carries no command.
+	Skip(index uint64)
+	// Snapshot encodes the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(index uint64, data []byte) error
+}
+
+// Node is one member. Set the exported fields before Run.
+type Node struct {
+	ID      string
+	Members []string
+	Dir     string
+	Machine Machine
+	// Send hands a message to the transport; it must not block.
+	Send          func(msg replica.Message)
+	Clock         weir.Clock
+	Logger        log.Logger
+	Heartbeat     time.Duration
+	Election      time.Duration
+	SnapshotEvery uint64
+
+	core      *replica.Core
+	disk      *wal.Log
+	hard      replica.Hard
+	inbox     chan replica.Message
+	proposals chan proposal
+	waiters   map[uint64]waiter
+	lastSnap  uint64
+	once      sync.Once
+
+	mu     sync.Mutex
+	status replica.Status
+}
+
+type proposal struct {
+	data  []byte
+	reply chan<- result
+}
+
+type waiter struct {
+	term  uint64
+	reply chan<- result
+}
+
+type result struct {
+	value any
+	err   error
+}
+
+// String is the step's name in logs.
+func (nd *Node) String() string { return "replicated log" }
+
+// Default fills and checks the settings.
+func (nd *Node) Default() error {
+	if nd.Heartbeat == 0 {
+		nd.Heartbeat = defaultHeartbeat
+	}
+	if nd.Election == 0 {
+		nd.Election = defaultElection
+	}
+	if nd.SnapshotEvery == 0 {
+		nd.SnapshotEvery = defaultSnapshotEvery
+	}
+	if nd.Logger == nil {
+		nd.Logger = log.NewNopLogger()
+	}
+	nd.init()
+	if nd.Election < 4*nd.Heartbeat {
+		return &Error{Op: "default", Kind: KindSetting, Err: errors.New("election timeout under four heartbeats")}
+	}
+	return nil
+}
+
+func (nd *Node) init() {
+	nd.once.Do(func() {
+		nd.inbox = make(chan replica.Message, inboxSlots)
+		nd.proposals = make(chan proposal, proposalSlots)
+		nd.waiters = make(map[uint64]waiter)
+	})
+}
+
+// Run works until the context ends or the storage fails. A member whose disk
+// fails stops, since it no longer knows what it has promised.
+func (nd *Node) Run(ctx context.Context) error {
+	if err := nd.open(); err != nil {
+		return err
+	}
+	defer func() { _ = nd.disk.Close() }()
+	defer nd.failWaiters()
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			nd.core.Tick(nd.Clock.Now())
+		case msg := <-nd.inbox:
+			// Time passes first: a member that was frozen must notice that its
+			// leadership ran out before it believes its own state.
+			nd.core.Tick(nd.Clock.Now())
+			nd.core.Step(nd.Clock.Now(), msg)
+		case prop := <-nd.proposals:
+			nd.core.Tick(nd.Clock.Now())
+			nd.propose(prop)
+		}
+		nd.drain()
+		if err := nd.settle(); err != nil {
+			return err
+		}
+	}
+}
+
+func (nd *Node) open() error {
+	disk, st, err := wal.Open(nd.Dir)
+	if err != nil {
+		return err
+	}
+	nd.disk = disk
+	nd.hard = st.Hard
+	nd.lastSnap = st.Snapshot.Index
+	if st.Snapshot.Index > 0 {
+		if err := nd.Machine.Restore(st.Snapshot.Index, st.Snapshot.Data); err != nil {
+			return &Error{Op: "restore", Kind: KindStorage, Err: err}
+		}
+	}
+	seed := fnv.New64a()
+	_, _ = seed.Write([]byte(nd.ID + st.Hard.Disk))
+	nd.core = &replica.Core{
+		ID: nd.ID, Members: nd.Members, Election: nd.Election, Heartbeat: nd.Heartbeat,
+		Rand: rand.New(rand.NewSource(int64(seed.Sum64()))), //nolint:gosec // election jitter is no secret
+	}
+	nd.core.Restore(nd.Clock.Now(), st.Hard, st.Snapshot, st.Entries)
+	_ = nd.Logger.Log("level", "info", "msg", "log opened", "term", st.Hard.Term, "learner", st.Hard.Learner,
+		"snapshot", st.Snapshot.Index, "entries", len(st.Entries), "tornBytes", st.TornBytes)
+	return nil
+}
+
+// drain takes what else is waiting, so that one sync serves all of it.
+func (nd *Node) drain() {
+	for range batchSlots {
+		select {
+		case msg := <-nd.inbox:
+			nd.core.Step(nd.Clock.Now(), msg)
+		case prop := <-nd.proposals:
+			nd.propose(prop)
+		default:
+			return
+		}
+	}
+}
+
+// settle does what the core asks for until it asks for nothing more.
+func (nd *Node) settle() error {
+	for {
+		rd := nd.core.Ready()
+		if rd.Empty() {
+			break
+		}
+		nd.sendAll(rd.Early)
+		if err := nd.persist(rd); err != nil {
+			return err
+		}
+		nd.core.Synced(nd.Clock.Now(), rd)
+		nd.sendAll(rd.Messages)
+		nd.apply(rd.Committed)
+	}
+	if nd.core.Role() != replica.Leader {
+		nd.failWaiters()
+	}
+	if err := nd.compact(); err != nil {
+		return err
+	}
+	nd.publish()
+	return nil
+}
+
+func (nd *Node) sendAll(msgs []replica.Message) {
+	for _, msg := range msgs {
+		nd.Send(msg)
+	}
+}
+
+func (nd *Node) persist(rd replica.Ready) error {
+	if rd.Hard != nil {
+		nd.hard = *rd.Hard
+	}
+	if rd.Snapshot != nil {
+		if err := nd.disk.SaveSnapshot(nd.hard, *rd.Snapshot, nil); err != nil {
+			return err
+		}
+		nd.lastSnap = rd.Snapshot.Index
+		if err := nd.Machine.Restore(rd.Snapshot.Index, rd.Snapshot.Data); err != nil {
+			return &Error{Op: "restore", Kind: KindStorage, Err: err}
+		}
+	}
+	if rd.Hard == nil && len(rd.Entries) == 0 {
+		return nil
+	}
+	begin := nd.Clock.Now()
+	err := nd.disk.Append(rd.Hard, rd.Entries)
+	metrics.GetOrCreateHistogram("weir_log_sync_seconds").Update(nd.Clock.Now().Sub(begin).Seconds())
+	return err
+}
+
+func (nd *Node) apply(entries []replica.Entry) {
+	for _, ent := range entries {
+		var value any
+		if ent.Kind == replica.EntryCommand {
+			value = nd.Machine.Apply(ent.Index, ent.Data)
+		} else {
+			nd.Machine.Skip(ent.Index)
+		}
+		wt, ok := nd.waiters[ent.Index]
+		if !ok {
+			continue
+		}
+		delete(nd.waiters, ent.Index)
+		if wt.term != ent.Term {
+			wt.reply <- result{err: &Error{Op: "propose", Kind: KindUnknown}}
+			continue
+		}
+		wt.reply <- result{value: value}
+	}
+}
+
+func (nd *Node) compact() error {
+	st := nd.core.Status()
+	applied := nd.core.Applied()
+	if applied-nd.lastSnap < nd.SnapshotEvery {
+		return nil
+	}
+	data, err := nd.Machine.Snapshot()
+	if err != nil {
+		return &Error{Op: "snapshot", Kind: KindStorage, Err: err}
+	}
+	snap := replica.Snapshot{Index: applied, Term: nd.core.TermAt(applied), Data: data}
+	nd.core.Compact(snap)
+	if err := nd.disk.SaveSnapshot(nd.hard, snap, nd.core.Tail()); err != nil {
+		return err
+	}
+	nd.lastSnap = applied
+	_ = nd.Logger.Log("level", "info", "msg", "snapshot saved", "index", applied, "bytes", len(data), "last", st.Last)
+	return nil
+}
+
+func (nd *Node) propose(prop proposal) {
+	index, term, err := nd.core.Propose(nd.Clock.Now(), prop.data)
+	if err != nil {
+		kind := KindNotLeader
+		if fault.Is(err, replica.KindBacklog) {
+			kind = KindBusy
+		}
+		prop.reply <- result{err: &Error{Op: "propose", Kind: kind}}
+		return
+	}
+	nd.waiters[index] = waiter{term: term, reply: prop.reply}
+}
+
+func (nd *Node) failWaiters() {
+	for index, wt := range nd.waiters {
+		wt.reply <- result{err: &Error{Op: "propose", Kind: KindUnknown}}
+		delete(nd.waiters, index)
+	}
+}
+
+func (nd *Node) publish() {
+	st := nd.core.Status()
+	nd.mu.Lock()
+	changed := st.Role != nd.status.Role || st.Term != nd.status.Term || st.Learner != nd.status.Learner
+	nd.status = st
+	nd.mu.Unlock()
+	if changed {
+		_ = nd.Logger.Log("level", "info", "msg", "role", "raftRole", string(st.Role), "term", st.Term,
+			"leader", st.Leader, "learner", st.Learner)
+	}
+}
+
+// Status returns the member's state as of its last step.
+func (nd *Node) Status() replica.Status {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.status
+}
+
+// Deliver takes a message from the transport; it drops it when too many wait,
+// which the algorithm allows.
+func (nd *Node) Deliver(msg replica.Message) {
+	nd.init()
+	select {
+	case nd.inbox <- msg:
+	default:
+		metrics.GetOrCreateCounter("weir_log_messages_dropped_total").Inc()
+	}
+}
+
+// Propose commits a command and returns the machine's answer to it. An error
+// of KindUnknown, or of the context, means that it may still be committed.
+func (nd *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	nd.init()
+	reply := make(chan result, 1)
+	select {
+	case nd.proposals <- proposal{data: data, reply: reply}:
+	default:
+		return nil, &Error{Op: "propose", Kind: KindBusy}
+	}
+	select {
+	case res := <-reply:
+		return res.value, res.err
+	case <-ctx.Done():
+		return nil, &Error{Op: "propose", Kind: KindUnknown, Err: ctx.Err()}
+	}
+}
--- /dev/null
+++ b/internal/state/replica/core.go
@@ -0,0 +1,295 @@
+package replica
+
+import (
+	"encoding/json"
+	"math/rand"
+	"time"
+
+	"greengageweir/internal/duty/invariant"
+)
+
+const (
+	// maxBatchEntries bounds the entries of one append.
+	maxBatchEntries = 512
+	// maxBatchBytes bounds the payload of one append.
+	maxBatchBytes = 1 << 20
+	// maxUncommitted bounds the entries that wait for commit.
+	maxUncommitted = 8192
+)
+
+// Core is the log's state machine. Set the exported fields, then call Restore.
+// It is not safe for concurrent use.
+type Core struct {
+	ID        string
+	Members   []string
+	Election  time.Duration
+	Heartbeat time.Duration
+	Rand      *rand.Rand
+
+	hard      Hard
+	hardDirty bool
+	role      Role
+	leader    string
+	log       memLog
+	stable    uint64 // last synced index
+	commit    uint64
+	applied   uint64 // last index handed out in Committed
+
+	heardLeader time.Time // last message of a live leader
+	electionAt  time.Time
+	nextBeat    time.Time
+	votes       map[string]bool
+	progress    map[string]*progress
+
+	early    []Message
+	messages []Message
+	install  *Snapshot
+}
+
+// progress is what a leader knows of one member.
+type progress struct {
+	match   uint64
+	next    uint64
+	learner bool
+	heard   time.Time
+	// snapshotSent delays a second snapshot.
+	snapshotSent time.Time
+}
+
+// Restore sets the state that was read from the disk.
+func (co *Core) Restore(now time.Time, hard Hard, snap Snapshot, entries []Entry) {
+	co.hard = hard
+	co.role = Follower
+	co.log = memLog{snapIndex: snap.Index, snapTerm: snap.Term, snap: snap, entries: entries}
+	co.stable = co.log.last()
+	co.commit = snap.Index
+	co.applied = snap.Index
+	co.heardLeader = now
+	co.resetElection(now)
+}
+
+// Status returns a copy of the member's state for display.
+func (co *Core) Status() Status {
+	st := Status{
+		ID: co.ID, Role: co.role, Term: co.hard.Term, Leader: co.leader, Learner: co.hard.Learner,
+		First: co.log.snapIndex + 1, Last: co.log.last(), Commit: co.commit,
+	}
+	if co.role == Leader {
+		st.Progress = make(map[string]uint64, len(co.progress))
+		for id, pr := range co.progress {
+			st.Progress[id] = pr.match
+		}
+	}
+	return st
+}
+
+// Role returns what the member is at present.
+func (co *Core) Role() Role { return co.role }
+
+// LeaderID returns the leader that the member follows, or "".
+func (co *Core) LeaderID() string { return co.leader }
+
+// Tick lets time pass: elections, heartbeats, check-quorum.
+func (co *Core) Tick(now time.Time) {
+	if co.role == Leader {
+		co.tickLeader(now)
+		return
+	}
+	if now.Before(co.electionAt) {
+		return
+	}
+	co.leader = ""
+	co.resetElection(now)
+	if co.hard.Learner || !co.isMember(co.ID) {
+		return
+	}
+	co.startPreVote(now)
+}
+
+func (co *Core) tickLeader(now time.Time) {
+	if !co.quorumHeard(now) {
+		co.becomeFollower(now, co.hard.Term, "")
+		return
+	}
+	if now.Before(co.nextBeat) {
+		return
+	}
+	co.nextBeat = now.Add(co.Heartbeat)
+	for _, id := range co.others() {
+		co.sendAppend(now, id, true)
+	}
+}
+
+// quorumHeard implements check-quorum: a leader that has not heard from a
+// majority for an election timeout is no leader.
+func (co *Core) quorumHeard(now time.Time) bool {
+	heard := 1
+	for _, pr := range co.progress {
+		if !pr.learner && now.Sub(pr.heard) < co.Election {
+			heard++
+		}
+	}
+	return heard >= co.quorum()
+}
+
+// Propose appends a command to the leader's log and returns its place.
+func (co *Core) Propose(now time.Time, data []byte) (index, term uint64, err error) {
+	return co.propose(now, EntryCommand, data)
+}
+
+func (co *Core) propose(now time.Time, kind EntryKind, data []byte) (index, term uint64, err error) {
+	if co.role != Leader {
+		return 0, 0, &Error{Op: "propose", Kind: KindNotLeader}
+	}
+	if co.log.last()-co.commit >= maxUncommitted {
+		return 0, 0, &Error{Op: "propose", Kind: KindBacklog}
+	}
+	ent := Entry{Index: co.log.last() + 1, Term: co.hard.Term, Kind: kind, Data: data}
+	co.log.append(ent)
+	return ent.Index, ent.Term, nil
+}
+
+// Step takes one message from another member.
+func (co *Core) Step(now time.Time, msg Message) {
+	if !co.isMember(msg.From) || msg.To != co.ID {
+		return
+	}
+	switch msg.Kind {
+	case MsgPreVote:
+		co.stepPreVote(now, msg)
+	case MsgPreVoteReply:
+		co.stepPreVoteReply(now, msg)
+	case MsgVote:
+		co.stepVote(now, msg)
+	case MsgVoteReply:
+		co.stepVoteReply(now, msg)
+	case MsgAppend, MsgSnapshot:
+		co.stepFromLeader(now, msg)
+	case MsgAppendReply:
+		co.stepAppendReply(now, msg)
+	}
+}
+
+// Ready returns what has to be done since the last call. The owner must finish
+// it and call Synced before the next call of Ready.
+func (co *Core) Ready() Ready {
+	if co.role == Leader {
+		co.broadcastNew()
+	}
+	rd := Ready{Early: co.early, Messages: co.messages, Snapshot: co.install}
+	co.early, co.messages, co.install = nil, nil, nil
+	if co.hardDirty {
+		hard := co.hard
+		rd.Hard = &hard
+		co.hardDirty = false
+	}
+	rd.Entries = co.log.from(co.stable+1, maxUncommitted, 1<<30)
+	bound := min(co.commit, co.stable)
+	if bound > co.applied {
+		rd.Committed = co.log.from(co.applied+1, int(bound-co.applied), 1<<30)
+		co.applied = bound
+		co.applyReadmits(rd.Committed)
+	}
+	return rd
+}
+
+// Synced tells that the writes of rd are on disk.
+func (co *Core) Synced(now time.Time, rd Ready) {
+	if len(rd.Entries) > 0 {
+		last := rd.Entries[len(rd.Entries)-1]
+		if co.log.term(last.Index) == last.Term {
+			co.stable = max(co.stable, last.Index)
+		}
+	}
+	if co.role == Leader {
+		co.advanceCommit(now)
+	}
+}
+
+// Compact drops the log up to the snapshot's index.
+func (co *Core) Compact(snap Snapshot) {
+	if snap.Index <= co.log.snapIndex || snap.Index > co.applied {
+		return
+	}
+	co.log.compact(snap)
+}
+
+func (co *Core) applyReadmits(entries []Entry) {
+	for _, ent := range entries {
+		if ent.Kind != EntryReadmit {
+			continue
+		}
+		var rm Readmit
+		if json.Unmarshal(ent.Data, &rm) != nil {
+			continue
+		}
+		if rm.Member == co.ID && rm.Disk == co.hard.Disk && co.hard.Learner {
+			co.hard.Learner = false
+			co.hardDirty = true
+		}
+	}
+}
+
+func (co *Core) isMember(id string) bool {
+	for _, mb := range co.Members {
+		if mb == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (co *Core) others() []string {
+	ids := make([]string, 0, len(co.Members))
+	for _, id := range co.Members {
+		if id != co.ID {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (co *Core) quorum() int { return len(co.Members)/2 + 1 }
+
+func (co *Core) resetElection(now time.Time) {
+	jitter := time.Duration(co.Rand.Int63n(int64(co.Election)))
+	co.electionAt = now.Add(co.Election + jitter)
+}
+
+func (co *Core) setTerm(term uint64, vote string) {
+	invariant.Check(term >= co.hard.Term, "termNeverFalls", "from", co.hard.Term, "to", term)
+	if co.hard.Term == term && co.hard.Vote == vote {
+		return
+	}
+	co.hard.Term = term
+	co.hard.Vote = vote
+	co.hardDirty = true
+}
+
+func (co *Core) becomeFollower(now time.Time, term uint64, leader string) {
+	if term > co.hard.Term {
+		co.setTerm(term, "")
+	}
+	if co.role != Follower || leader != co.leader {
+		co.resetElection(now)
+	}
+	co.role = Follower
+	co.leader = leader
+	co.progress = nil
+}
+
+func (co *Core) send(msg Message) {
+	msg.From = co.ID
+	co.messages = append(co.messages, msg)
+}
+
+// Applied returns the last index handed out to be applied.
+func (co *Core) Applied() uint64 { return co.applied }
+
+// TermAt returns the term of the entry at index, 0 where it is not held.
+func (co *Core) TermAt(index uint64) uint64 { return co.log.term(index) }
+
+// Tail returns the synced entries behind the latest snapshot.
+func (co *Core) Tail() []Entry {
+	return co.log.from(co.log.snapIndex+1, int(co.stable-co.log.snapIndex), 1<<30)
+}
--- /dev/null
+++ b/internal/state/replica/elect.go
@@ -0,0 +1,121 @@
+package replica
+
+import "time"
+
+func (co *Core) startPreVote(now time.Time) {
+	co.role = PreCandidate
+	co.votes = map[string]bool{co.ID: true}
+	co.askVotes(MsgPreVote, co.hard.Term+1)
+	co.countPreVotes(now)
+}
+
+func (co *Core) startVote(now time.Time) {
+	co.role = Candidate
+	co.setTerm(co.hard.Term+1, co.ID)
+	co.votes = map[string]bool{co.ID: true}
+	co.resetElection(now)
+	co.askVotes(MsgVote, co.hard.Term)
+	co.countVotes(now)
+}
+
+func (co *Core) askVotes(kind MessageKind, term uint64) {
+	last := co.log.last()
+	for _, id := range co.others() {
+		co.send(Message{Kind: kind, To: id, Term: term, Index: last, LogTerm: co.log.term(last)})
+	}
+}
+
+// leaderAlive reports whether a leader was heard within an election timeout;
+// then votes are refused, so that a member that was cut off does not disturb.
+func (co *Core) leaderAlive(now time.Time) bool {
+	if co.role == Leader {
+		return true
+	}
+	return co.leader != "" && now.Sub(co.heardLeader) < co.Election
+}
+
+func (co *Core) upToDate(msg Message) bool {
+	last := co.log.last()
+	term := co.log.term(last)
+	if msg.LogTerm != term {
+		return msg.LogTerm > term
+	}
+	return msg.Index >= last
+}
+
+func (co *Core) stepPreVote(now time.Time, msg Message) {
+	grant := !co.hard.Learner && msg.Term > co.hard.Term && !co.leaderAlive(now) && co.upToDate(msg)
+	reply := Message{Kind: MsgPreVoteReply, To: msg.From, Term: msg.Term, Reject: !grant}
+	if !grant {
+		reply.Term = co.hard.Term
+	}
+	co.send(reply)
+}
+
+func (co *Core) stepPreVoteReply(now time.Time, msg Message) {
+	if msg.Reject {
+		if msg.Term > co.hard.Term {
+			co.becomeFollower(now, msg.Term, "")
+		}
+		return
+	}
+	if co.role != PreCandidate || msg.Term != co.hard.Term+1 {
+		return
+	}
+	co.votes[msg.From] = true
+	co.countPreVotes(now)
+}
+
+func (co *Core) countPreVotes(now time.Time) {
+	if len(co.votes) >= co.quorum() {
+		co.startVote(now)
+	}
+}
+
+func (co *Core) stepVote(now time.Time, msg Message) {
+	if msg.Term < co.hard.Term || co.leaderAlive(now) {
+		co.send(Message{Kind: MsgVoteReply, To: msg.From, Term: co.hard.Term, Reject: true})
+		return
+	}
+	if msg.Term > co.hard.Term {
+		co.becomeFollower(now, msg.Term, "")
+	}
+	free := co.hard.Vote == "" || co.hard.Vote == msg.From
+	grant := !co.hard.Learner && free && co.role == Follower && co.upToDate(msg)
+	if grant {
+		co.setTerm(msg.Term, msg.From)
+		co.resetElection(now)
+	}
+	co.send(Message{Kind: MsgVoteReply, To: msg.From, Term: co.hard.Term, Reject: !grant})
+}
+
+func (co *Core) stepVoteReply(now time.Time, msg Message) {
+	if msg.Term > co.hard.Term {
+		co.becomeFollower(now, msg.Term, "")
+		return
+	}
+	if co.role != Candidate || msg.Term != co.hard.Term || msg.Reject {
+		return
+	}
+	co.votes[msg.From] = true
+	co.countVotes(now)
+}
+
+func (co *Core) countVotes(now time.Time) {
+	if len(co.votes) >= co.quorum() {
+		co.becomeLeader(now)
+	}
+}
+
+func (co *Core) becomeLeader(now time.Time) {
+	co.role = Leader
+	co.leader = co.ID
+	co.progress = make(map[string]*progress, len(co.Members))
+	for _, id := range co.others() {
+		co.progress[id] = &progress{next: co.log.last() + 1, heard: now}
+	}
+	co.nextBeat = now
+	// An entry of the new term lets older entries commit (section 5.4.2).
+	_, _, _ = co.propose(now, EntryNoop, nil)
+	co.tickLeader(now)
+}
--- /dev/null
+++ b/internal/state/wal/wal.go
@@ -0,0 +1,370 @@
+// Package wal keeps a member's hard state, log and snapshot in one data
+// folder. Nothing is acknowledged before it is synced. A torn tail, which a
+// crash in the middle of a write leaves, is cut off on opening; a damaged
+// record with whole records behind it is refused, since what follows it may
+// have been acknowledged.
+//
+// Files: LOCK, snapshot, and log-<hex index>, which starts behind that index.
+//
+// Usage:
+//
+//	err := wal.Format(dir, false)          // once, when the cluster is created
+//	lg, st, err := wal.Open(dir)           // an empty folder opens as a learner
+//	err = lg.Append(&hard, entries)        // one sync
+//	err = lg.SaveSnapshot(hard, snap, tail)
+package wal
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"syscall"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/state/replica"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindLocked  Kind = "data folder is in use by another process"
+	KindCorrupt Kind = "damaged record in the middle of the log"
+	KindExists  Kind = "data folder already holds a log"
+	KindIO      Kind = "input or output failed"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	lockName     = "LOCK"
+	snapshotName = "snapshot"
+	logPrefix    = "log-"
+	folderMode   = 0o750
+	fileMode     = 0o640
+)
+
+// State is what was read from a data folder.
+type State struct {
+	Hard     replica.Hard
+	Snapshot replica.Snapshot
+	Entries  []replica.Entry
+	// TornBytes were cut off the tail.
+	TornBytes int64
+}
+
+// Log is an open data folder.
+type Log struct {
+	dir  string
+	lock *os.File
+	file *os.File
+	size int64
+}
+
+// Format prepares an empty folder as that of a voting member of a new
+// cluster, or of a learner.
+func Format(dir string, learner bool) error {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return &Error{Op: "format " + dir, Kind: KindIO, Err: err}
+	}
+	name, err := newestLog(dir)
+	if err != nil {
+		return err
+	}
+	if name != "" {
+		return &Error{Op: "format " + dir, Kind: KindExists}
+	}
+	hard := replica.Hard{Learner: learner, Disk: uuid.NewString()}
+	return writeFile(dir, logName(0), []any{record{Hard: &hard}})
+}
+
+// Open locks and reads a data folder. An empty one becomes a learner's.
+func Open(dir string) (*Log, State, error) {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return nil, State{}, &Error{Op: "open " + dir, Kind: KindIO, Err: err}
+	}
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, State{}, err
+	}
+	lg := &Log{dir: dir, lock: lock}
+	st, err := lg.load()
+	if err != nil {
+		_ = lock.Close()
+		return nil, State{}, err
+	}
+	return lg, st, nil
+}
+
+func lockFolder(dir string) (*os.File, error) {
+	lock, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, &Error{Op: "lock " + dir, Kind: KindIO, Err: err}
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, &Error{Op: "lock " + dir, Kind: KindLocked, Err: err}
+	}
+	return lock, nil
+}
+
+func (lg *Log) load() (State, error) {
+	name, err := newestLog(lg.dir)
+	if err != nil {
+		return State{}, err
+	}
+	if name == "" {
+		if err := Format(lg.dir, true); err != nil {
+			return State{}, err
+		}
+		name = logName(0)
+	}
+	st := State{}
+	if st.Snapshot, err = readSnapshot(lg.dir); err != nil {
+		return State{}, err
+	}
+	lg.file, err = os.OpenFile(filepath.Join(lg.dir, name), os.O_RDWR, fileMode)
+	if err != nil {
+		return State{}, &Error{Op: "open " + name, Kind: KindIO, Err: err}
+	}
+	if err := lg.replay(&st); err != nil {
+		return State{}, err
+	}
+	return st, nil
+}
+
+// replay reads the log file and cuts off a torn tail.
+func (lg *Log) replay(st *State) error {
+	rd := bufio.NewReaderSize(lg.file, 1<<20)
+	for {
+		body, err := readRecord(rd)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if errors.Is(err, errTorn) {
+			if err := lg.cutTail(st); err != nil {
+				return err
+			}
+			break
+		}
+		var rec record
+		if err := json.Unmarshal(body, &rec); err != nil {
+			return &Error{Op: "decode record", Kind: KindCorrupt, Err: err}
+		}
+		lg.size += int64(headerBytes + len(body))
+		st.take(rec)
+	}
+	if _, err := lg.file.Seek(lg.size, io.SeekStart); err != nil {
+		return &Error{Op: "seek", Kind: KindIO, Err: err}
+	}
+	return nil
+}
+
+func (st *State) take(rec record) {
+	if rec.Hard != nil {
+		st.Hard = *rec.Hard
+	}
+	ent := rec.Entry
+	if ent == nil || ent.Index <= st.Snapshot.Index {
+		return
+	}
+	keep := ent.Index - st.Snapshot.Index - 1
+	if keep > uint64(len(st.Entries)) {
+		// A gap can only be what an installed snapshot has replaced.
+		return
+	}
+	st.Entries = append(st.Entries[:keep:keep], *ent)
+}
+
+// cutTail removes what follows the last whole record, unless another whole
+// record can be found behind the damage.
+func (lg *Log) cutTail(st *State) error {
+	info, err := lg.file.Stat()
+	if err != nil {
+		return &Error{Op: "stat", Kind: KindIO, Err: err}
+	}
+	rest := make([]byte, info.Size()-lg.size)
+	if _, err := lg.file.ReadAt(rest, lg.size); err != nil && !errors.Is(err, io.EOF) {
+		return &Error{Op: "read tail", Kind: KindIO, Err: err}
+	}
+	if wholeRecordInside(rest) {
+		return &Error{Op: fmt.Sprintf("read log at byte %d", lg.size), Kind: KindCorrupt}
+	}
+	st.TornBytes = int64(len(rest))
+	if err := lg.file.Truncate(lg.size); err != nil {
+		return &Error{Op: "cut tail", Kind: KindIO, Err: err}
+	}
+	if err := lg.file.Sync(); err != nil {
+		return &Error{Op: "sync", Kind: KindIO, Err: err}
+	}
+	return nil
+}
+
+// wholeRecordInside looks for a record that starts after the first byte.
+func wholeRecordInside(rest []byte) bool {
+	for at := 1; at+headerBytes < len(rest); at++ {
+		if rest[at+headerBytes] != '{' {
+			continue
+		}
+		rd := bufio.NewReader(strings.NewReader(string(rest[at:min(len(rest), at+maxProbeBytes)])))
+		if _, err := readRecord(rd); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// maxProbeBytes bounds the record that is looked for behind damage.
+const maxProbeBytes = 1 << 20
+
+// Append writes the hard state (if not nil) and the entries with one sync.
+func (lg *Log) Append(hard *replica.Hard, entries []replica.Entry) error {
+	var buf []byte
+	var err error
+	if hard != nil {
+		if buf, err = appendRecord(buf, record{Hard: hard}); err != nil {
+			return &Error{Op: "encode", Kind: KindIO, Err: err}
+		}
+	}
+	for ix := range entries {
+		if buf, err = appendRecord(buf, record{Entry: &entries[ix]}); err != nil {
+			return &Error{Op: "encode", Kind: KindIO, Err: err}
+		}
+	}
+	if _, err := lg.file.Write(buf); err != nil {
+		return &Error{Op: "append", Kind: KindIO, Err: err}
+	}
+	lg.size += int64(len(buf))
+	if err := lg.file.Sync(); err != nil {
+		return &Error{Op: "sync", Kind: KindIO, Err: err}
+	}
+	return nil
+}
+
+// SaveSnapshot stores the snapshot and starts a new log file with the entries
+// behind it. A crash at any point leaves the old or the new state.
+func (lg *Log) SaveSnapshot(hard replica.Hard, snap replica.Snapshot, tail []replica.Entry) error {
+	if err := writeFile(lg.dir, snapshotName, []any{snap}); err != nil {
+		return err
+	}
+	records := []any{record{Hard: &hard}}
+	for ix := range tail {
+		records = append(records, record{Entry: &tail[ix]})
+	}
+	name := logName(snap.Index)
+	if err := writeFile(lg.dir, name, records); err != nil {
+		return err
+	}
+	file, err := os.OpenFile(filepath.Join(lg.dir, name), os.O_RDWR, fileMode)
+	if err != nil {
+		return &Error{Op: "open " + name, Kind: KindIO, Err: err}
+	}
+	size, err := file.Seek(0, io.SeekEnd)
+	if err != nil {
+		return &Error{Op: "seek", Kind: KindIO, Err: err}
+	}
+	old := lg.file
+	lg.file, lg.size = file, size
+	_ = old.Close()
+	if old.Name() != file.Name() {
+		_ = os.Remove(old.Name())
+	}
+	return nil
+}
+
+// Size returns the bytes of the current log file.
+func (lg *Log) Size() int64 { return lg.size }
+
+// Close releases the folder.
+func (lg *Log) Close() error {
+	err := lg.file.Close()
+	if lockErr := lg.lock.Close(); err == nil {
+		err = lockErr
+	}
+	return err
+}
+
+func logName(index uint64) string { return fmt.Sprintf("%s%016x", logPrefix, index) }
+
+func newestLog(dir string) (string, error) {
+	names, err := filepath.Glob(filepath.Join(dir, logPrefix+"????????????????"))
+	if err != nil || len(names) == 0 {
+		return "", err
+	}
+	sort.Strings(names)
+	return filepath.Base(names[len(names)-1]), nil
+}
+
+func readSnapshot(dir string) (replica.Snapshot, error) {
+	file, err := os.Open(filepath.Join(dir, snapshotName))
+	if errors.Is(err, os.ErrNotExist) {
+		return replica.Snapshot{}, nil
+	}
+	if err != nil {
+		return replica.Snapshot{}, &Error{Op: "open snapshot", Kind: KindIO, Err: err}
+	}
+	defer func() { _ = file.Close() }()
+	body, err := readRecord(bufio.NewReader(file))
+	if err != nil {
+		return replica.Snapshot{}, &Error{Op: "read snapshot", Kind: KindCorrupt, Err: err}
+	}
+	var snap replica.Snapshot
+	if err := json.Unmarshal(body, &snap); err != nil {
+		return replica.Snapshot{}, &Error{Op: "decode snapshot", Kind: KindCorrupt, Err: err}
+	}
+	return snap, nil
+}
+
+// writeFile writes records to a temporary file, syncs it, gives it its name
+// and syncs the folder.
+func writeFile(dir, name string, records []any) error {
+	var buf []byte
+	var err error
+	for _, rec := range records {
+		if buf, err = appendRecord(buf, rec); err != nil {
+			return &Error{Op: "encode " + name, Kind: KindIO, Err: err}
+		}
+	}
+	temp := filepath.Join(dir, name+".tmp")
+	if err := writeSynced(temp, buf); err != nil {
+		return &Error{Op: "write " + name, Kind: KindIO, Err: err}
+	}
+	if err := os.Rename(temp, filepath.Join(dir, name)); err != nil {
+		return &Error{Op: "rename " + name, Kind: KindIO, Err: err}
+	}
+	if err := syncFolder(dir); err != nil {
+		return &Error{Op: "sync folder", Kind: KindIO, Err: err}
+	}
+	return nil
+}
+
+func writeSynced(path string, buf []byte) error {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	if _, err := file.Write(buf); err != nil {
+		return err
+	}
+	return file.Sync()
+}
+
+func syncFolder(dir string) error {
+	folder, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = folder.Close() }()
+	return folder.Sync()
+}
