fix: a ledger replica that restarts recovers what the others surely know

After a start no replica counted as recovered for the whole retention, so one that restarted could never copy from the others; and callers came before the ledger could accept new keys. Ruled out: lost records (none ran twice, none lost). Change: each replica has a floor above which it remembers every grant; a copy of all others lowers it to the highest of theirs. /readyz waits for the floor.

--- a/cmd/greengageweir/entry.go
+++ b/cmd/greengageweir/entry.go
@@ -107,7 +107,7 @@
 	}
 	pr.front = &front.Front{
 		Addr: ec.CallerAddr, Zone: zone, Dispatcher: dp, Services: pr.table, Clock: clk,
-		DrainNotice: ec.DrainNotice, DrainPatience: ec.DrainPatience,
+		Ready: pr.ready, DrainNotice: ec.DrainNotice, DrainPatience: ec.DrainPatience,
 	}
 	sv := &serve.Service{Dispatcher: dp, Table: pr.table, Store: pr.store, Mesh: pr.mesh, Clock: clk}
 	pr.steps = []weir.Step{
@@ -172,6 +172,8 @@
 		return errors.New("stopping")
 	case pr.follower.View().Index == 0:
 		return errors.New("no configuration yet")
+	case !pr.store.Settled(pr.clk.Now()):
+		return errors.New("ledger has not caught up")
 	}
 	return nil
 }
--- a/internal/contract/peerapi/peerapi.go
+++ b/internal/contract/peerapi/peerapi.go
@@ -155,9 +155,10 @@
 
 // DumpAnswer is a page of records.
 type DumpAnswer struct {
-	Records   []Record `json:"records"`
-	Recovered bool     `json:"recovered"`
-	More      bool     `json:"more"`
+	Records []Record `json:"records"`
+	// Floor is the stamp above which the replica remembers every grant.
+	Floor time.Time `json:"floor"`
+	More  bool      `json:"more"`
 }
 
 // Record is one record of the ledger.
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -58,6 +58,8 @@
 	Dispatcher weir.Dispatcher
 	Services   Services
 	Clock      weir.Clock
+	// Ready returns why callers should not come here, or nil.
+	Ready func() error
 	// DrainNotice is how long the balancer is told before the listener closes,
 	// DrainPatience how long requests in flight may take after that.
 	DrainNotice   time.Duration
@@ -114,8 +116,8 @@
 func (fr *Front) Stopping() bool { return fr.stopping.Load() }
 
 func (fr *Front) ready(ctx echo.Context) error {
-	if fr.stopping.Load() {
-		return ctx.String(http.StatusServiceUnavailable, "stopping\n")
+	if err := fr.Ready(); err != nil {
+		return ctx.String(http.StatusServiceUnavailable, err.Error()+"\n")
 	}
 	return ctx.String(http.StatusOK, "ready\n")
 }
--- a/internal/entry/ledger/recover.go
+++ b/internal/entry/ledger/recover.go
@@ -14,7 +14,8 @@
 	recoverTimeout = 2 * time.Second
 )
 
-// Recovery copies the records of the other replicas after a start.
+// Recovery copies the records of the other replicas after a start. Replicas
+// holds all members of the groups that this instance belongs to.
 type Recovery struct {
 	Self     string
 	Replicas []string
@@ -29,57 +30,66 @@
 // Default has nothing to fill.
 func (rc *Recovery) Default() error { return nil }
 
-// Run tries until all other replicas, each recovered itself, gave all their
-// records.
+// Run tries until all other replicas gave all their records.
 func (rc *Recovery) Run(ctx context.Context) error {
-	if !rc.member() {
-		return nil
-	}
-	missing := map[string]bool{}
-	for _, id := range rc.Replicas {
-		if id != rc.Self {
-			missing[id] = true
-		}
-	}
-	for len(missing) > 0 {
-		for id := range missing {
-			if rc.copyFrom(ctx, id) {
-				delete(missing, id)
+	floors := map[string]time.Time{}
+	for !rc.complete(floors) {
+		for _, id := range rc.Replicas {
+			if _, done := floors[id]; done || id == rc.Self {
+				continue
+			}
+			if floor, ok := rc.copyFrom(ctx, id); ok {
+				floors[id] = floor
 			}
 		}
+		if rc.complete(floors) {
+			break
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(recoverPause):
 		}
 	}
-	rc.Store.SetRecovered()
+	rc.Store.Lower(highest(floors))
 	_ = rc.Logger.Log("level", "info", "msg", "ledger recovered", "keys", rc.Store.Stats().Keys)
 	return nil
 }
 
-func (rc *Recovery) member() bool {
-	for _, id := range rc.Replicas {
-		if id == rc.Self {
-			return true
+// complete reports whether all other replicas were copied.
+func (rc *Recovery) complete(floors map[string]time.Time) bool {
+	return len(floors) >= len(rc.Replicas)-1
+}
+
+func highest(floors map[string]time.Time) time.Time {
+	var top time.Time
+	for _, floor := range floors {
+		if floor.After(top) {
+			top = floor
 		}
 	}
-	return false
+	return top
 }
 
-func (rc *Recovery) copyFrom(ctx context.Context, id string) bool {
+// copyFrom loads the records of one replica and returns its floor as it was
+// before the first page: what it learns later is not in the copy.
+func (rc *Recovery) copyFrom(ctx context.Context, id string) (time.Time, bool) {
 	after := ""
+	var floor time.Time
 	for {
 		var page peerapi.DumpAnswer
 		callCtx, cancel := context.WithTimeout(ctx, recoverTimeout)
 		err := rc.Caller.Call(callCtx, id, peerapi.LedgerDump, peerapi.Dump{After: after}, &page)
 		cancel()
-		if err != nil || !page.Recovered {
-			return false
+		if err != nil {
+			return time.Time{}, false
+		}
+		if after == "" {
+			floor = page.Floor
 		}
 		rc.Store.Load(page.Records)
 		if !page.More {
-			return true
+			return floor, true
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
--- a/internal/entry/ledger/store.go
+++ b/internal/entry/ledger/store.go
@@ -3,10 +3,11 @@
 // group; an attempt may be dispatched only after a majority of them granted
 // it the key.
 //
-// Replicas hold records in memory. One that restarted has forgotten, so it
-// refuses every key that may have been granted before: keys whose stamp is not
-// after its start by more than MaxSkew. It accepts those again once it has
-// copied the records of all other replicas of its group.
+// Replicas hold records in memory. Each has a floor: it remembers every grant
+// of a key whose stamp is after it, and refuses keys below it. A replica that
+// starts has forgotten everything, so its floor is its start and MaxSkew. Once
+// it has copied the records of all other replicas of its group, its floor
+// falls to the highest of theirs.
 //
 // Usage:
 //
@@ -59,10 +60,10 @@
 	retention time.Duration
 	capacity  int
 
-	mu        sync.Mutex
-	started   time.Time
-	recovered bool
-	records   map[string]record
+	mu      sync.Mutex
+	started time.Time
+	floor   time.Time
+	records map[string]record
 	// expiry holds keys by the minute of their stamp.
 	expiry map[int64][]string
 	swept  int64
@@ -72,7 +73,7 @@
 // at most capacity keys for the retention time.
 func NewStore(now time.Time, retention time.Duration, capacity int) *Store {
 	return &Store{
-		retention: retention, capacity: capacity, started: now,
+		retention: retention, capacity: capacity, started: now, floor: now.Add(MaxSkew),
 		records: map[string]record{}, expiry: map[int64][]string{}, swept: now.Add(-retention).Unix() / 60,
 	}
 }
@@ -82,14 +83,6 @@
 	return key.Stamp.After(now.Add(-st.retention)) && key.Stamp.Before(now.Add(MaxSkew))
 }
 
-// knows reports whether the replica would remember a grant of the key.
-func (st *Store) knows(now time.Time, key Key) bool {
-	if st.recovered || now.Sub(st.started) > st.retention+MaxSkew {
-		return true
-	}
-	return key.Stamp.After(st.started.Add(MaxSkew))
-}
-
 // Reserve grants the key to an attempt, or tells who has it.
 func (st *Store) Reserve(now time.Time, res peerapi.Reserve) peerapi.ReserveAnswer {
 	key, err := ParseKey(res.Key)
@@ -105,7 +98,7 @@
 	switch {
 	case !st.InRange(now, key) || key.Stamp.Unix()/60 < st.swept:
 		return refused("key out of range")
-	case !st.knows(now, key):
+	case !key.Stamp.After(st.floor):
 		return refused("replica recovers")
 	case len(st.records) >= st.capacity:
 		return refused("ledger full")
@@ -170,7 +163,7 @@
 }
 
 // Dump returns a page of records behind a key.
-func (st *Store) Dump(now time.Time, after string) peerapi.DumpAnswer {
+func (st *Store) Dump(after string) peerapi.DumpAnswer {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	keys := make([]string, 0, len(st.records))
@@ -180,7 +173,7 @@
 		}
 	}
 	sort.Strings(keys)
-	page := peerapi.DumpAnswer{Recovered: st.recovered || now.Sub(st.started) > st.retention+MaxSkew, More: len(keys) > dumpPage}
+	page := peerapi.DumpAnswer{Floor: st.floor, More: len(keys) > dumpPage}
 	for _, key := range keys[:min(len(keys), dumpPage)] {
 		rec := st.records[key]
 		page.Records = append(page.Records, peerapi.Record{Key: key, Attempt: rec.attempt, Answer: rec.answer})
@@ -205,23 +198,33 @@
 	}
 }
 
-// SetRecovered tells that the records of all other replicas were loaded.
-func (st *Store) SetRecovered() {
+// Lower sets the floor after the records of all other replicas were loaded;
+// it never rises.
+func (st *Store) Lower(floor time.Time) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if floor.Before(st.floor) {
+		st.floor = floor
+	}
+}
+
+// Settled reports whether every key that is made now is above the floor.
+func (st *Store) Settled(now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.recovered = true
+	return now.After(st.floor)
 }
 
 // Stats is a replica's state for the state dump.
 type Stats struct {
-	Keys      int       `json:"keys"`
-	Started   time.Time `json:"started"`
-	Recovered bool      `json:"recovered"`
+	Keys    int       `json:"keys"`
+	Started time.Time `json:"started"`
+	Floor   time.Time `json:"floor"`
 }
 
 // Stats returns the replica's state.
 func (st *Store) Stats() Stats {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return Stats{Keys: len(st.records), Started: st.started, Recovered: st.recovered}
+	return Stats{Keys: len(st.records), Started: st.started, Floor: st.floor}
 }
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -98,7 +98,7 @@
 		if err := call.Decode(&du); err != nil {
 			return nil, err
 		}
-		return sv.Store.Dump(sv.Clock.Now(), du.After), nil
+		return sv.Store.Dump(du.After), nil
 	}
 	return nil, peer.Unknown(call.Method)
 }
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -43,7 +43,9 @@
 	// Wrong marks an answer that belongs to another request or is not whole.
 	Wrong bool `json:"wrong,omitempty"`
 	// Status is that of a whole answer.
-	Status int           `json:"status,omitempty"`
+	Status int `json:"status,omitempty"`
+	// Reason is why the last try was not whole.
+	Reason string        `json:"reason,omitempty"`
 	Took   time.Duration `json:"tookNanos"`
 	// FirstTook is the time of the first try.
 	FirstTook time.Duration `json:"firstTookNanos"`
@@ -171,7 +173,7 @@
 			res.FirstTook = ld.Clock.Now().Sub(begin)
 		}
 		res.Wrong = res.Wrong || one.Wrong
-		told, res.Status = one.Outcome, one.Status
+		told, res.Status, res.Reason = one.Outcome, one.Status, one.Reason
 		if told == weir.Whole {
 			break
 		}
@@ -201,14 +203,17 @@
 	}
 	resp, err := ld.client.Do(req)
 	if err != nil {
-		return Result{Outcome: weir.Unknown}
+		return Result{Outcome: weir.Unknown, Reason: "no answer from the entry instance"}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Result{Outcome: weir.Unknown}
 	}
-	res := Result{Outcome: weir.OutcomeKind(resp.Header.Get(caller.HeaderOutcome)), Status: resp.StatusCode}
+	res := Result{
+		Outcome: weir.OutcomeKind(resp.Header.Get(caller.HeaderOutcome)), Status: resp.StatusCode,
+		Reason: resp.Header.Get(caller.HeaderReason),
+	}
 	if res.Outcome == weir.Whole && resp.StatusCode == http.StatusOK {
 		var ech worker.Echo
 		err := json.Unmarshal(body, &ech)
--- a/internal/standin/verify/verify.go
+++ b/internal/standin/verify/verify.go
@@ -43,6 +43,9 @@
 	FirstP50 time.Duration
 	FirstP99 time.Duration
 
+	// Reasons counts why requests got no whole answer in the end.
+	Reasons map[string]int
+
 	Ran       machine.Totals
 	Reported  machine.Totals
 	HaveUsage bool
@@ -85,7 +88,7 @@
 
 // Compare compares results and usage with what ran.
 func Compare(results []load.Result, runs []worker.Run, usage []machine.UsageLine) Report {
-	rep := Report{Requests: len(results), HaveUsage: usage != nil}
+	rep := Report{Requests: len(results), HaveUsage: usage != nil, Reasons: map[string]int{}}
 	counts := map[string]int{}
 	for _, rn := range runs {
 		rep.addRun(rn, counts)
@@ -132,6 +135,9 @@
 	if res.Wrong {
 		rp.Wrong++
 	}
+	if res.Outcome != weir.Whole {
+		rp.Reasons[string(res.Outcome)+": "+res.Reason]++
+	}
 	switch res.Outcome {
 	case weir.Whole:
 		rp.Whole++
@@ -199,6 +205,9 @@
 	for _, row := range rows {
 		_, _ = fmt.Fprintf(tab, "%s\t%v\n", row.name, row.val)
 	}
+	for reason, count := range rp.Reasons {
+		_, _ = fmt.Fprintf(tab, "  %s\t%d\n", reason, count)
+	}
 	if rp.HaveUsage {
 		_, _ = fmt.Fprintf(tab, "usage reported\t%d tasks, %d failed, %d ms\n", rp.Reported.Done, rp.Reported.Failed, rp.Reported.BusyMillis)
 		_, _ = fmt.Fprintf(tab, "usage really run\t%d tasks, %d failed, %d ms\n", rp.Ran.Done, rp.Ran.Failed, rp.Ran.BusyMillis)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -18,6 +18,7 @@
 wait_for 15 leader || fail "no leader within 15 s"
 "$BIN/weirctl" config apply --dir "$EXAMPLE" --expected 0 --note "first" --wait 10s || fail "configuration not in force"
 wait_for 15 available 50 || fail "not all instances are available"
+wait_for 10 entries_ready || fail "not all entry instances are ready"
 
 # shellcheck disable=SC2046
 "$BIN/weirstandin" load $(load_targets) $(printf -- '--service %s ' "${SERVICES[@]}") \
@@ -43,7 +44,7 @@
 sed -i 's/queueLength: 256/queueLength: 300/' "$OUT/changed/base.yaml"
 ROLLOUT=$("$BIN/weirctl" config apply --dir "$OUT/changed" --expected 1 --note "longer queues" --wait 10s) || fail "change not in force"
 echo "$ROLLOUT"
-"$BIN/weirctl" wave start --name demo --pool south-desk --parallel 2 --wait 40s || fail "wave did not end"
+"$BIN/weirctl" wave start --name demo --pool south-desk --zone gariahat --zone howrah --parallel 3 --wait 40s || fail "wave did not end"
 wait $LOAD || fail "load ended with an error"
 wait_for 20 usage_settled || fail "usage does not settle"
 "$BIN/weirctl" usage --output json >"$OUT/usage.json"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -110,6 +110,11 @@
   [ "$("$BIN/weirctl" pool list --output json | grep -o '"available": [0-9]*' | awk '{s += $2} END {print s}')" -ge "$1" ]
 }
 
+# entries_ready succeeds when the balancer would send callers to all.
+entries_ready() {
+  for ((i = 1; i <= $(entry_count); i++)); do curl -sf "http://$(entry_caller "$i")/readyz" || return 1; done
+}
+
 leader() { "$BIN/weirctl" config status --output json | sed -n 's/^  "leader": "\(.*\)",/\1/p'; }
 
 # usage_settled succeeds when the usage did not change for two seconds.
