--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Two commands do all set-up: make demo, make test.
+
+GO      ?= go
+BIN     := bin
+VERSION := $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS := -X greengageweir/internal/duty/cli.Version=$(VERSION)
+SEED    ?= 1
+DURATION ?= 60s
+export CGO_ENABLED := 1
+
+.PHONY: all build demo test lint fmt unit check-examples soak bench slopes tools clean
+
+all: build
+
+build:
+	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
+
+demo: build
+	scripts/demo.sh
+
+test: build lint check-examples unit
+
+unit:
+	WEIR_INVARIANTS_FATAL=1 $(GO) test -race ./...
+
+lint: $(BIN)/tools/golangci-lint
+	$(BIN)/tools/golangci-lint run ./...
+	$(BIN)/tools/golangci-lint fmt --diff
+	bash -n scripts/*.sh
+
+fmt: $(BIN)/tools/golangci-lint
+	$(BIN)/tools/golangci-lint fmt
+
+$(BIN)/tools/golangci-lint: tools/go.mod tools/go.sum
+	cd tools && $(GO) build -o ../$(BIN)/tools/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+check-examples: build
+	$(BIN)/weirctl config check --dir examples/alokchitra
+	$(BIN)/weirctl config check --dir examples/retourpost
+
+soak: build
+	scripts/soak.sh $(SEED) $(DURATION)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+slopes: build
+	scripts/slopes.sh
+
+clean:
+	rm -rf $(BIN) out
--- a/cmd/greengageweir/common.go
+++ b/cmd/greengageweir/common.go
@@ -8,12 +8,12 @@
 	"syscall"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"greengageweir/internal/duty/access"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/duty/logs"
 	"greengageweir/internal/duty/settings"
+
+	"github.com/go-kit/log"
 )
 
 // commonFlags are the flags of all daemons.
--- a/cmd/greengageweir/control.go
+++ b/cmd/greengageweir/control.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/platform"
 	"greengageweir/internal/control/hub"
 	"greengageweir/internal/control/operatorapi"
@@ -20,6 +19,8 @@
 	"greengageweir/internal/state/node"
 	"greengageweir/internal/state/replica"
 	"greengageweir/internal/state/wal"
+
+	weir "greengageweir"
 )
 
 // controlCommand runs a control process.
--- a/cmd/greengageweir/entry.go
+++ b/cmd/greengageweir/entry.go
@@ -6,9 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
-	weir "greengageweir"
 	"greengageweir/internal/duty/cli"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/ops"
@@ -23,6 +20,10 @@
 	"greengageweir/internal/entry/report"
 	"greengageweir/internal/entry/serve"
 	"greengageweir/internal/link/peer"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
 )
 
 // entryCommand runs an entry instance.
--- a/cmd/weirctl/common.go
+++ b/cmd/weirctl/common.go
@@ -9,10 +9,10 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/google/uuid"
-
 	"greengageweir/internal/contract/operator"
 	"greengageweir/internal/duty/access"
+
+	"github.com/google/uuid"
 )
 
 // remote are the flags of commands that call the control processes.
--- a/cmd/weirctl/config.go
+++ b/cmd/weirctl/config.go
@@ -9,13 +9,14 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	weir "greengageweir"
 	"greengageweir/internal/config/file"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/contract/operator"
 	"greengageweir/internal/fleet/machine"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
 )
 
 // folder is the flag of commands that read configuration files.
--- a/cmd/weirctl/fleet.go
+++ b/cmd/weirctl/fleet.go
@@ -7,12 +7,13 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/operator"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
 )
 
 type waveStart struct {
--- a/cmd/weirstandin/load.go
+++ b/cmd/weirstandin/load.go
@@ -6,10 +6,11 @@
 	"os"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/settings"
 	"greengageweir/internal/standin/load"
+
+	weir "greengageweir"
 )
 
 // loadCommand sends a bounded load.
--- a/cmd/weirstandin/verify.go
+++ b/cmd/weirstandin/verify.go
@@ -4,12 +4,12 @@
 	"encoding/json"
 	"os"
 
-	"github.com/pkg/errors"
-
 	"greengageweir/internal/contract/operator"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/standin/load"
 	"greengageweir/internal/standin/verify"
+
+	"github.com/pkg/errors"
 )
 
 // verifyCommand compares answers and usage with the journals.
--- a/cmd/weirstandin/workers.go
+++ b/cmd/weirstandin/workers.go
@@ -7,11 +7,12 @@
 	"syscall"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/file"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/logs"
 	"greengageweir/internal/standin/worker"
+
+	weir "greengageweir"
 )
 
 // workersCommand runs the workers that a site's overlay declares.
--- a/internal/config/file/file.go
+++ b/internal/config/file/file.go
@@ -18,10 +18,11 @@
 	"strings"
 	"time"
 
+	"greengageweir/internal/config/model"
+
 	"gopkg.in/yaml.v3"
 
 	weir "greengageweir"
-	"greengageweir/internal/config/model"
 )
 
 // Schema describes the keys of both kinds of files as JSON Schema.
@@ -89,9 +90,11 @@
 		Pools: map[weir.PoolName]model.Pool{}, Teams: map[weir.TeamName]model.Team{},
 		Instances: map[weir.InstanceID]model.Instance{},
 	}
-	if ob := ld.open(base); ob != nil {
-		ld.readBase(ob)
+	ob := ld.open(base)
+	if ob == nil {
+		return model.Config{}, &Error{Op: "load " + base, Kind: KindInvalid, Problems: ld.ps.list}
 	}
+	ld.readBase(ob)
 	sort.Strings(overlays)
 	for _, path := range overlays {
 		if ob := ld.open(path); ob != nil {
--- a/internal/config/file/reader.go
+++ b/internal/config/file/reader.go
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"gopkg.in/yaml.v3"
-
 	"greengageweir/internal/config/model"
+
+	"gopkg.in/yaml.v3"
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
--- a/internal/contract/endpoint/endpoint.go
+++ b/internal/contract/endpoint/endpoint.go
@@ -15,8 +15,9 @@
 	"strconv"
 	"strings"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/command"
+
+	weir "greengageweir"
 )
 
 // The headers of a dispatched request and its answer.
--- a/internal/contract/operator/client.go
+++ b/internal/contract/operator/client.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"strings"
 
-	"github.com/pkg/errors"
-
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/fleet/command"
+
+	"github.com/pkg/errors"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/contract/operator/operator.go
+++ b/internal/contract/operator/operator.go
@@ -10,12 +10,13 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // ApplyRequest asks for a configuration to follow number Expected.
--- a/internal/contract/peerapi/peerapi.go
+++ b/internal/contract/peerapi/peerapi.go
@@ -9,9 +9,10 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // The methods of a control process.
--- a/internal/contract/platform/platform.go
+++ b/internal/contract/platform/platform.go
@@ -16,8 +16,9 @@
 	"net/http"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/duty/fault"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/control/hub/hub.go
+++ b/internal/control/hub/hub.go
@@ -14,11 +14,11 @@
 	"context"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/sourcegraph/jsonrpc2"
-
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/fleet/view"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
--- a/internal/control/operatorapi/api.go
+++ b/internal/control/operatorapi/api.go
@@ -14,15 +14,16 @@
 	"sort"
 	"time"
 
-	"github.com/labstack/echo/v4"
-
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/contract/operator"
 	"greengageweir/internal/control/serve"
 	"greengageweir/internal/duty/access"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
+
+	"github.com/labstack/echo/v4"
+
+	weir "greengageweir"
 )
 
 const requestTimeout = 5 * time.Second
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -14,8 +14,9 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
+
+	weir "greengageweir"
 )
 
 // UnheardAfter is how long an entry instance may be silent.
--- a/internal/control/serve/links.go
+++ b/internal/control/serve/links.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-kit/log"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/run"
 	"greengageweir/internal/link/peer"
 	"greengageweir/internal/state/replica"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
 )
 
 // ringSlots bounds the messages that wait to be sent to one member.
--- a/internal/control/serve/report.go
+++ b/internal/control/serve/report.go
@@ -4,10 +4,11 @@
 	"context"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
+
+	weir "greengageweir"
 )
 
 // Report takes an entry instance's report, here or at the leader.
--- a/internal/control/serve/service.go
+++ b/internal/control/serve/service.go
@@ -11,7 +11,6 @@
 	"context"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/control/hub"
 	"greengageweir/internal/control/registry"
@@ -21,6 +20,8 @@
 	"greengageweir/internal/link/peer"
 	"greengageweir/internal/state/node"
 	"greengageweir/internal/state/replica"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/control/steward/steward.go
+++ b/internal/control/steward/steward.go
@@ -13,14 +13,15 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
-	weir "greengageweir"
 	"greengageweir/internal/control/registry"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/fleet/view"
 	"greengageweir/internal/maintenance/wave"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/duty/access/access.go
+++ b/internal/duty/access/access.go
@@ -15,9 +15,9 @@
 	"path/filepath"
 	"strings"
 
-	"github.com/labstack/echo/v4"
-
 	"greengageweir/internal/duty/fault"
+
+	"github.com/labstack/echo/v4"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/duty/logs/logs.go
+++ b/internal/duty/logs/logs.go
@@ -11,9 +11,9 @@
 	"io"
 	"sync/atomic"
 
-	"github.com/go-kit/log"
-
 	"greengageweir/internal/duty/fault"
+
+	"github.com/go-kit/log"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/duty/ops/ops.go
+++ b/internal/duty/ops/ops.go
@@ -16,14 +16,14 @@
 	"runtime"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/labstack/echo/v4"
-	"github.com/labstack/echo/v4/middleware"
-
 	"greengageweir/internal/duty/access"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/duty/logs"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -15,15 +15,16 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/google/uuid"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/entry/ledger"
 	"greengageweir/internal/entry/place"
 	"greengageweir/internal/link/peer"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+
+	weir "greengageweir"
 )
 
 // Mesh reaches the other entry instances.
@@ -237,7 +238,7 @@
 
 func (dp *Dispatcher) group(zone weir.Zone) *ledger.Group {
 	if gr, ok := dp.groups.Load(zone); ok {
-		return gr.(*ledger.Group) //nolint:errcheck,forcetypeassert // only groups are stored
+		return gr.(*ledger.Group) // only groups are stored
 	}
 	gr := &ledger.Group{
 		Self: dp.Self, Store: dp.Store, Replicas: ledger.Replicas(dp.Sites, zone), Caller: dp.Mesh, Clock: dp.Clock,
--- a/internal/entry/dispatch/send.go
+++ b/internal/entry/dispatch/send.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/entry/place"
 	"greengageweir/internal/link/httpconn"
+
+	"github.com/google/uuid"
+
+	weir "greengageweir"
 )
 
 // send runs a request on a slot and gives the slot back. The second result
--- a/internal/entry/follow/follow.go
+++ b/internal/entry/follow/follow.go
@@ -16,14 +16,15 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-	"github.com/sourcegraph/jsonrpc2"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/run"
 	"greengageweir/internal/fleet/view"
 	"greengageweir/internal/link/peer"
+
+	"github.com/go-kit/log"
+	"github.com/sourcegraph/jsonrpc2"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -16,15 +16,16 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
-
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/contract/caller"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/duty/ops"
 	"greengageweir/internal/entry/ledger"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/entry/ledger/group.go
+++ b/internal/entry/ledger/group.go
@@ -6,9 +6,10 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/invariant"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/ledger/recover.go
+++ b/internal/entry/ledger/recover.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"greengageweir/internal/contract/peerapi"
+
+	"github.com/go-kit/log"
 )
 
 const (
--- a/internal/entry/ledger/store.go
+++ b/internal/entry/ledger/store.go
@@ -22,9 +22,10 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/fault"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/entry/mesh/mesh.go
+++ b/internal/entry/mesh/mesh.go
@@ -15,12 +15,13 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/run"
 	"greengageweir/internal/link/peer"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/place/announce.go
+++ b/internal/entry/place/announce.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
 	"greengageweir/internal/link/httpconn"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/place/endpoint.go
+++ b/internal/entry/place/endpoint.go
@@ -3,9 +3,10 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/link/httpconn"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/place/queue.go
+++ b/internal/entry/place/queue.go
@@ -58,7 +58,7 @@
 		queue := la.teams[la.order[la.next]]
 		la.next++
 		for front := queue.Front(); front != nil; front = queue.Front() {
-			wt := front.Value.(*waiter) //nolint:errcheck,forcetypeassert // only waiters are pushed
+			wt := front.Value.(*waiter) // only waiters are pushed
 			if now.Before(wt.req.Deadline) {
 				break
 			}
@@ -66,7 +66,7 @@
 			close(wt.granted)
 		}
 		if front := queue.Front(); front != nil {
-			wt := front.Value.(*waiter) //nolint:errcheck,forcetypeassert // only waiters are pushed
+			wt := front.Value.(*waiter) // only waiters are pushed
 			if fits(wt) {
 				return wt
 			}
--- a/internal/entry/place/table.go
+++ b/internal/entry/place/table.go
@@ -17,13 +17,14 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/fleet/view"
 	"greengageweir/internal/link/httpconn"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/entry/place/usage.go
+++ b/internal/entry/place/usage.go
@@ -3,8 +3,9 @@
 import (
 	"sort"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/command"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/report/report.go
+++ b/internal/entry/report/report.go
@@ -11,12 +11,13 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/entry/place"
 	"greengageweir/internal/fleet/view"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -13,10 +13,6 @@
 	"net/http"
 	"time"
 
-	"github.com/labstack/echo/v4"
-	"github.com/labstack/echo/v4/middleware"
-
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/duty/fault"
@@ -26,6 +22,11 @@
 	"greengageweir/internal/entry/mesh"
 	"greengageweir/internal/entry/place"
 	"greengageweir/internal/link/peer"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/fleet/command/command.go
+++ b/internal/fleet/command/command.go
@@ -11,8 +11,9 @@
 	"encoding/json"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
+
+	weir "greengageweir"
 )
 
 // Command is one entry of the log; exactly one pointer is set.
--- a/internal/fleet/machine/drain.go
+++ b/internal/fleet/machine/drain.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 
-	weir "greengageweir"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // serving returns a member that serves and is up, or the refusal that says
--- a/internal/fleet/machine/machine.go
+++ b/internal/fleet/machine/machine.go
@@ -16,11 +16,12 @@
 	"sort"
 	"sync"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/fleet/machine/reader.go
+++ b/internal/fleet/machine/reader.go
@@ -3,10 +3,11 @@
 import (
 	"sort"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // Reader reads the state inside Machine.Read. The maps that it returns are
--- a/internal/fleet/machine/state.go
+++ b/internal/fleet/machine/state.go
@@ -3,10 +3,11 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 // WaveState is the state of a maintenance wave.
--- a/internal/fleet/machine/wave.go
+++ b/internal/fleet/machine/wave.go
@@ -5,8 +5,9 @@
 	"sort"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/command"
+
+	weir "greengageweir"
 )
 
 func (st *state) applyWave(cmd command.Command) command.Answer {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -11,9 +11,10 @@
 import (
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/config/model"
 	"greengageweir/internal/duty/fault"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/link/httpconn/httpconn.go
+++ b/internal/link/httpconn/httpconn.go
@@ -19,10 +19,11 @@
 	"sync"
 	"time"
 
+	"greengageweir/internal/duty/fault"
+
 	"github.com/pkg/errors"
 
 	weir "greengageweir"
-	"greengageweir/internal/duty/fault"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -16,9 +16,9 @@
 	"encoding/json"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"greengageweir/internal/duty/fault"
+
+	"github.com/sourcegraph/jsonrpc2"
 )
 
 // Kind tells the errors of this package apart.
--- a/internal/maintenance/wave/wave.go
+++ b/internal/maintenance/wave/wave.go
@@ -11,10 +11,11 @@
 	"sort"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/fleet/view"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -20,10 +20,11 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/caller"
 	"greengageweir/internal/entry/ledger"
 	"greengageweir/internal/standin/worker"
+
+	weir "greengageweir"
 )
 
 // Target is an entry instance's callers' address.
--- a/internal/standin/verify/verify.go
+++ b/internal/standin/verify/verify.go
@@ -18,10 +18,11 @@
 	"text/tabwriter"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/standin/load"
 	"greengageweir/internal/standin/worker"
+
+	weir "greengageweir"
 )
 
 // Report is the outcome of a comparison.
--- a/internal/standin/worker/host.go
+++ b/internal/standin/worker/host.go
@@ -6,13 +6,14 @@
 	"net/http"
 	"time"
 
+	"greengageweir/internal/contract/platform"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+
 	"github.com/go-kit/log"
 	"github.com/labstack/echo/v4"
 
 	weir "greengageweir"
-	"greengageweir/internal/contract/platform"
-	"greengageweir/internal/duty/ops"
-	"greengageweir/internal/duty/run"
 )
 
 // Host runs the workers of one zone in one process and stands in for the
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -7,9 +7,10 @@
 	"strconv"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/fleet/command"
+
+	weir "greengageweir"
 )
 
 const (
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -16,10 +16,11 @@
 	"sync"
 	"time"
 
-	weir "greengageweir"
 	"greengageweir/internal/contract/endpoint"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/fleet/command"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
@@ -135,18 +136,17 @@
 }
 
 // await polls a condition under the lock.
-func (wk *Worker) await(patience time.Duration, cond func() bool) bool {
+func (wk *Worker) await(patience time.Duration, cond func() bool) {
 	end := wk.Clock.Now().Add(patience)
 	for wk.Clock.Now().Before(end) {
 		wk.mu.Lock()
 		ok := cond()
 		wk.mu.Unlock()
 		if ok {
-			return true
+			return
 		}
 		time.Sleep(pollEvery)
 	}
-	return false
 }
 
 func (wk *Worker) nudge() {
--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -16,14 +16,15 @@
 	"sync"
 	"time"
 
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/state/replica"
+	"greengageweir/internal/state/wal"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
 	weir "greengageweir"
-	"greengageweir/internal/duty/fault"
-	"greengageweir/internal/state/replica"
-	"greengageweir/internal/state/wal"
 )
 
 // Kind tells the errors of this package apart.
@@ -305,7 +306,7 @@
 }
 
 func (nd *Node) propose(prop proposal) {
-	index, term, err := nd.core.Propose(nd.Clock.Now(), prop.data)
+	index, term, err := nd.core.Propose(prop.data)
 	if err != nil {
 		kind := KindNotLeader
 		if fault.Is(err, replica.KindBacklog) {
--- a/internal/state/replica/append.go
+++ b/internal/state/replica/append.go
@@ -69,7 +69,13 @@
 
 func (co *Core) stepSnapshot(msg Message) {
 	snap := *msg.Snapshot
-	if snap.Index > co.commit {
+	switch {
+	case snap.Index <= co.commit:
+	case co.log.term(snap.Index) == snap.Term:
+		// The log reaches past the snapshot, and what is behind it may have
+		// been acknowledged already, so it must be kept.
+		co.commit = snap.Index
+	default:
 		co.log = memLog{snapIndex: snap.Index, snapTerm: snap.Term, snap: snap}
 		co.stable = snap.Index
 		co.commit = snap.Index
@@ -128,10 +134,10 @@
 		return
 	}
 	pr := co.progress[msg.From]
-	pr.heard = now
-	if msg.Learner && !pr.learner {
-		pr.match = 0
+	if !pr.accepts(msg) {
+		return
 	}
+	pr.heard = now
 	pr.learner = msg.Learner
 	if msg.Reject {
 		pr.next = max(min(pr.next, msg.Index+1), pr.match+1)
@@ -142,17 +148,32 @@
 	pr.next = max(pr.next, pr.match+1)
 	co.advanceCommit(now)
 	if pr.learner && pr.match >= co.commit {
-		co.readmit(now, msg)
+		co.readmit(msg)
 	}
 }
 
+// accepts reports whether a reply is of the member's present disk. A reply of
+// a disk that was lost since must not count: what it matched is gone. A new
+// disk shows itself by a learner's reply, and starts from nothing.
+func (pr *progress) accepts(msg Message) bool {
+	if msg.Disk == pr.disk {
+		return true
+	}
+	if pr.disk != "" && !msg.Learner {
+		return false
+	}
+	pr.disk = msg.Disk
+	pr.match = 0
+	return true
+}
+
 // readmit proposes that a caught-up learner votes again, once per disk.
-func (co *Core) readmit(now time.Time, msg Message) {
+func (co *Core) readmit(msg Message) {
 	data, err := json.Marshal(Readmit{Member: msg.From, Disk: msg.Disk})
 	if err != nil || co.log.hasReadmit(data, co.commit) {
 		return
 	}
-	_, _, _ = co.propose(now, EntryReadmit, data)
+	_, _, _ = co.propose(EntryReadmit, data)
 }
 
 // advanceCommit applies the commit rule: a majority of voters holds the entry
--- /dev/null
+++ b/internal/state/replica/cluster_test.go
@@ -0,0 +1,240 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	testElection  = 100 * time.Millisecond
+	testHeartbeat = 20 * time.Millisecond
+	testTick      = 10 * time.Millisecond
+)
+
+// disk is what survives a crash of one member.
+type disk struct {
+	hard    Hard
+	snap    Snapshot
+	entries []Entry
+}
+
+// peerState is one member of a test cluster.
+type peerState struct {
+	core    *Core
+	disk    disk
+	up      bool
+	applied []string // commands in order of application
+	at      uint64
+}
+
+// cluster drives members with time, messages and crashes from one seed and
+// asserts the invariants of the log after each step.
+type cluster struct {
+	t     *testing.T
+	rng   *rand.Rand
+	now   time.Time
+	ids   []string
+	peers map[string]*peerState
+	net   []Message
+	cut   map[string]bool // members whose links are cut
+	// chosen is the first command applied at each index, by any member.
+	chosen map[uint64]string
+	// leaders is who led each term.
+	leaders map[uint64]string
+	wipes   int
+	// quorum replaces a rule under test; zero keeps it.
+	weakLearner bool
+}
+
+func newCluster(t *testing.T, size int, seed int64) *cluster {
+	cl := &cluster{
+		t: t, rng: rand.New(rand.NewSource(seed)), now: time.Unix(1_800_000_000, 0), peers: map[string]*peerState{},
+		cut: map[string]bool{}, chosen: map[uint64]string{}, leaders: map[uint64]string{},
+	}
+	for ix := range size {
+		cl.ids = append(cl.ids, fmt.Sprintf("c%d", ix+1))
+	}
+	for _, id := range cl.ids {
+		cl.peers[id] = &peerState{disk: disk{hard: Hard{Disk: id + "-0"}}}
+		cl.start(id)
+	}
+	return cl
+}
+
+func (cl *cluster) start(id string) {
+	pe := cl.peers[id]
+	pe.core = &Core{
+		ID: id, Members: cl.ids, Election: testElection, Heartbeat: testHeartbeat,
+		Rand: rand.New(rand.NewSource(cl.rng.Int63())),
+	}
+	entries := append([]Entry{}, pe.disk.entries...)
+	pe.core.Restore(cl.now, pe.disk.hard, pe.disk.snap, entries)
+	pe.at = pe.disk.snap.Index
+	pe.applied = nil
+	pe.up = true
+}
+
+func (cl *cluster) crash(id string) { cl.peers[id].up = false }
+
+// wipe loses a member's disk; it comes back as a learner.
+func (cl *cluster) wipe(id string) {
+	cl.crash(id)
+	cl.wipes++
+	cl.peers[id].disk = disk{hard: Hard{Learner: !cl.weakLearner, Disk: fmt.Sprintf("%s-%d", id, cl.wipes)}}
+}
+
+// settle does what a member's core asks for. With crash set it stops at a
+// random point between the steps, as a crash would.
+func (cl *cluster) settle(id string, crash bool) {
+	pe := cl.peers[id]
+	for {
+		rd := pe.core.Ready()
+		if rd.Empty() {
+			break
+		}
+		cl.net = append(cl.net, rd.Early...)
+		if crash && cl.rng.Intn(2) == 0 {
+			cl.crash(id)
+			return
+		}
+		pe.disk.save(rd)
+		if crash {
+			cl.crash(id)
+			return
+		}
+		if rd.Snapshot != nil {
+			pe.at = rd.Snapshot.Index
+		}
+		pe.core.Synced(cl.now, rd)
+		cl.net = append(cl.net, rd.Messages...)
+		cl.apply(id, rd.Committed)
+	}
+	cl.check(id)
+}
+
+func (dk *disk) save(rd Ready) {
+	if rd.Hard != nil {
+		dk.hard = *rd.Hard
+	}
+	if rd.Snapshot != nil {
+		dk.snap = *rd.Snapshot
+		dk.entries = nil
+	}
+	for _, ent := range rd.Entries {
+		keep := ent.Index - dk.snap.Index - 1
+		dk.entries = append(dk.entries[:keep:keep], ent)
+	}
+}
+
+// apply checks that no two members apply different commands at one index.
+func (cl *cluster) apply(id string, entries []Entry) {
+	pe := cl.peers[id]
+	for _, ent := range entries {
+		require.Equal(cl.t, pe.at+1, ent.Index, "entries are applied in order without gaps")
+		pe.at = ent.Index
+		text := fmt.Sprintf("%s/%d/%s", ent.Kind, ent.Term, ent.Data)
+		first, ok := cl.chosen[ent.Index]
+		if !ok {
+			cl.chosen[ent.Index] = text
+			continue
+		}
+		require.Equal(cl.t, first, text, "index %d differs at %s", ent.Index, id)
+	}
+}
+
+func (cl *cluster) check(id string) {
+	pe := cl.peers[id]
+	if pe.core.Role() != Leader {
+		return
+	}
+	term := pe.core.hard.Term
+	other, ok := cl.leaders[term]
+	require.True(cl.t, !ok || other == id, "term %d has two leaders, %s and %s", term, other, id)
+	cl.leaders[term] = id
+}
+
+func (cl *cluster) tick(id string) {
+	pe := cl.peers[id]
+	if !pe.up {
+		return
+	}
+	pe.core.Tick(cl.now)
+	cl.settle(id, false)
+}
+
+// deliver hands over the message at a place of the network.
+func (cl *cluster) deliver(at int, keep bool) {
+	msg := cl.net[at]
+	if !keep {
+		cl.net = append(cl.net[:at], cl.net[at+1:]...)
+	}
+	pe := cl.peers[msg.To]
+	if !pe.up || cl.cut[msg.From] != cl.cut[msg.To] {
+		return
+	}
+	pe.core.Step(cl.now, msg)
+	cl.settle(msg.To, false)
+}
+
+func (cl *cluster) leader() string {
+	for _, id := range cl.ids {
+		if pe := cl.peers[id]; pe.up && pe.core.Role() == Leader && !cl.cut[id] {
+			return id
+		}
+	}
+	return ""
+}
+
+// calm lets time pass without faults until all members agree.
+func (cl *cluster) calm(rounds int) {
+	cl.cut = map[string]bool{}
+	for _, id := range cl.ids {
+		if !cl.peers[id].up {
+			cl.start(id)
+		}
+	}
+	for range rounds {
+		cl.now = cl.now.Add(testTick)
+		for _, id := range cl.ids {
+			cl.tick(id)
+		}
+		cl.deliverAll()
+	}
+}
+
+// maxBurst bounds the messages that one moment may cause.
+const maxBurst = 20_000
+
+// deliverAll hands over messages until none is left.
+func (cl *cluster) deliverAll() {
+	for count := 0; len(cl.net) > 0; count++ {
+		require.Less(cl.t, count, maxBurst, "messages cause messages without end: %+v", cl.net[0])
+		cl.deliver(0, false)
+	}
+}
+
+func (cl *cluster) propose(data string) bool {
+	id := cl.leader()
+	if id == "" {
+		return false
+	}
+	_, _, err := cl.peers[id].core.Propose([]byte(data))
+	cl.settle(id, false)
+	return err == nil
+}
+
+func (cl *cluster) compact(id string) {
+	pe := cl.peers[id]
+	if !pe.up || pe.core.Applied() == 0 || pe.core.Applied() <= pe.disk.snap.Index {
+		return
+	}
+	index := pe.core.Applied()
+	snap := Snapshot{Index: index, Term: pe.core.TermAt(index), Data: []byte("snap")}
+	pe.core.Compact(snap)
+	pe.disk.snap = snap
+	pe.disk.entries = append([]Entry{}, pe.core.Tail()...)
+}
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -51,7 +51,9 @@
 	match   uint64
 	next    uint64
 	learner bool
-	heard   time.Time
+	// disk is the data folder that match is about.
+	disk  string
+	heard time.Time
 	// snapshotSent delays a second snapshot.
 	snapshotSent time.Time
 }
@@ -133,11 +135,11 @@
 }
 
 // Propose appends a command to the leader's log and returns its place.
-func (co *Core) Propose(now time.Time, data []byte) (index, term uint64, err error) {
-	return co.propose(now, EntryCommand, data)
+func (co *Core) Propose(data []byte) (index, term uint64, err error) {
+	return co.propose(EntryCommand, data)
 }
 
-func (co *Core) propose(now time.Time, kind EntryKind, data []byte) (index, term uint64, err error) {
+func (co *Core) propose(kind EntryKind, data []byte) (index, term uint64, err error) {
 	if co.role != Leader {
 		return 0, 0, &Error{Op: "propose", Kind: KindNotLeader}
 	}
--- /dev/null
+++ b/internal/state/replica/core_test.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestElectsAndCommits(t *testing.T) {
+	for _, size := range []int{1, 3, 5} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			cl := newCluster(t, size, 1)
+			cl.calm(40)
+			require.True(t, cl.propose("a"))
+			cl.calm(5)
+			for _, id := range cl.ids {
+				require.Equal(t, cl.peers[cl.ids[0]].at, cl.peers[id].at)
+				require.GreaterOrEqual(t, cl.peers[id].at, uint64(2))
+			}
+		})
+	}
+}
+
+func TestFrozenLeaderStepsDownBeforeItSpeaks(t *testing.T) {
+	cl := newCluster(t, 3, 2)
+	cl.calm(40)
+	old := cl.leader()
+	cl.cut[old] = true // frozen: takes no message, ticks no clock
+	for range 100 {
+		cl.now = cl.now.Add(testTick)
+		for _, id := range cl.ids {
+			if id != old {
+				cl.tick(id)
+			}
+		}
+		cl.deliverAll()
+	}
+	require.NotEqual(t, old, cl.leader())
+	cl.peers[old].core.Tick(cl.now)
+	require.Equal(t, Follower, cl.peers[old].core.Role())
+	_, _, err := cl.peers[old].core.Propose([]byte("late"))
+	require.Error(t, err)
+}
+
+func TestIsolatedMemberDoesNotDisturb(t *testing.T) {
+	cl := newCluster(t, 3, 3)
+	cl.calm(40)
+	leader := cl.leader()
+	term := cl.peers[leader].core.hard.Term
+	lonely := cl.ids[0]
+	if lonely == leader {
+		lonely = cl.ids[1]
+	}
+	cl.cut[lonely] = true
+	for range 200 {
+		cl.now = cl.now.Add(testTick)
+		for _, id := range cl.ids {
+			cl.tick(id)
+		}
+		cl.deliverAll()
+	}
+	cl.calm(40)
+	require.Equal(t, leader, cl.leader(), "pre-vote keeps the leader")
+	require.Equal(t, term, cl.peers[leader].core.hard.Term)
+}
+
+func TestFarBehindMemberCatchesUp(t *testing.T) {
+	cl := newCluster(t, 3, 4)
+	cl.calm(40)
+	behind := cl.ids[0]
+	if behind == cl.leader() {
+		behind = cl.ids[1]
+	}
+	cl.crash(behind)
+	for ix := range 3000 {
+		cl.propose(strconv.Itoa(ix))
+		cl.deliverAll()
+	}
+	for _, id := range cl.ids {
+		if id != behind {
+			cl.compact(id)
+		}
+	}
+	cl.propose("after the snapshot")
+	cl.calm(300)
+	require.Equal(t, cl.peers[cl.leader()].at, cl.peers[behind].core.Applied())
+}
+
+func TestWipedMemberIsLearnerUntilReadmitted(t *testing.T) {
+	cl := newCluster(t, 3, 5)
+	cl.calm(40)
+	cl.propose("kept")
+	cl.calm(5)
+	wiped := cl.ids[0]
+	if wiped == cl.leader() {
+		wiped = cl.ids[1]
+	}
+	cl.wipe(wiped)
+	cl.start(wiped)
+	require.True(t, cl.peers[wiped].core.hard.Learner)
+	cl.peers[wiped].core.Step(cl.now, Message{
+		Kind: MsgVote, From: cl.leader(), To: wiped, Term: 99, Index: 99, LogTerm: 99,
+	})
+	for _, msg := range cl.peers[wiped].core.Ready().Messages {
+		require.True(t, msg.Reject, "a member that lost its disk does not vote")
+	}
+	cl.calm(100)
+	require.False(t, cl.peers[wiped].core.hard.Learner, "readmitted after it caught up")
+	require.Equal(t, cl.peers[cl.leader()].at, cl.peers[wiped].at)
+}
+
+// TestLateSnapshotKeepsAcknowledgedEntries hands a follower a snapshot that
+// was delayed until after it had acknowledged entries behind it.
+func TestLateSnapshotKeepsAcknowledgedEntries(t *testing.T) {
+	co := &Core{ID: "c1", Members: []string{"c1", "c2", "c3"}, Election: testElection, Heartbeat: testHeartbeat, Rand: rand.New(rand.NewSource(1))}
+	now := time.Unix(1_800_000_000, 0)
+	co.Restore(now, Hard{Term: 1, Disk: "d"}, Snapshot{}, nil)
+	var list []Entry
+	for ix := uint64(1); ix <= 5; ix++ {
+		list = append(list, Entry{Index: ix, Term: 1, Kind: EntryCommand})
+	}
+	co.Step(now, Message{Kind: MsgAppend, From: "c2", To: "c1", Term: 1, Commit: 1, Entries: list})
+	rd := co.Ready()
+	co.Synced(now, rd)
+	require.Equal(t, uint64(5), rd.Messages[0].Index, "five entries are acknowledged")
+	co.Step(now, Message{Kind: MsgSnapshot, From: "c2", To: "c1", Term: 1, Snapshot: &Snapshot{Index: 3, Term: 1}})
+	require.Equal(t, uint64(5), co.Status().Last)
+	require.Equal(t, uint64(3), co.Status().Commit)
+	require.Nil(t, co.Ready().Snapshot)
+}
+
+// randomRun drives a cluster with faults from one seed.
+func randomRun(t *testing.T, size int, seed int64, steps int) *cluster {
+	cl := newCluster(t, size, seed)
+	for step := range steps {
+		cl.randomStep(step)
+	}
+	cl.calm(400)
+	require.True(t, cl.propose("last"), "seed %d: a leader exists when faults end", seed)
+	cl.calm(20)
+	for _, id := range cl.ids {
+		require.Equal(t, cl.peers[cl.leader()].at, cl.peers[id].at, "seed %d: %s caught up", seed, id)
+	}
+	return cl
+}
+
+func (cl *cluster) randomStep(step int) {
+	id := cl.ids[cl.rng.Intn(len(cl.ids))]
+	switch roll := cl.rng.Intn(1000); {
+	case roll < 250:
+		cl.now = cl.now.Add(time.Duration(cl.rng.Int63n(int64(testTick))))
+		cl.tick(id)
+	case roll < 800 && len(cl.net) > 0:
+		// Any message may come next; some come twice.
+		cl.deliver(cl.rng.Intn(len(cl.net)), cl.rng.Intn(10) == 0)
+	case roll < 850 && len(cl.net) > 0:
+		cl.net = append(cl.net[:0], cl.net[1:]...)
+	case roll < 930:
+		cl.propose(fmt.Sprintf("step %d", step))
+	case roll < 950:
+		cl.cut[id] = !cl.cut[id]
+	case roll < 962 && cl.peers[id].up:
+		cl.peers[id].core.Tick(cl.now.Add(testElection))
+		cl.settle(id, true)
+	case roll < 985 && !cl.peers[id].up:
+		cl.start(id)
+	case roll < 990:
+		cl.compact(id)
+	case roll < 992 && cl.allVote():
+		cl.wipe(id)
+	}
+}
+
+// allVote reports whether every member is up and votes: one disk is lost at a
+// time, since a second loss before the readmission can lose the majority.
+func (cl *cluster) allVote() bool {
+	for _, id := range cl.ids {
+		if pe := cl.peers[id]; !pe.up || pe.core.hard.Learner {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRandomFaults(t *testing.T) {
+	first, runs := int64(1), 60
+	if text := os.Getenv("WEIR_SOAK_SEED"); text != "" {
+		seed, err := strconv.ParseInt(text, 10, 64)
+		require.NoError(t, err)
+		first, runs = seed*1_000_000, 2000
+	}
+	for run := range runs {
+		size := 3 + 2*(run%2)
+		randomRun(t, size, first+int64(run), 3000)
+	}
+}
--- a/internal/state/replica/elect.go
+++ b/internal/state/replica/elect.go
@@ -116,6 +116,6 @@
 	}
 	co.nextBeat = now
 	// An entry of the new term lets older entries commit (section 5.4.2).
-	_, _, _ = co.propose(now, EntryNoop, nil)
+	_, _, _ = co.propose(EntryNoop, nil)
 	co.tickLeader(now)
 }
--- a/internal/state/replica/types.go
+++ b/internal/state/replica/types.go
@@ -15,7 +15,7 @@
 //
 //	core := &replica.Core{ID: "c1", Members: ids, Election: 400 * time.Millisecond, ...}
 //	core.Restore(hard, snap, entries)
-//	core.Tick(now); core.Step(now, msg); core.Propose(now, data)
+//	core.Tick(now); core.Step(now, msg); core.Propose(data)
 //	rd := core.Ready()       // send rd.Early, sync rd.Entries and rd.Hard,
 //	core.Synced(now, rd)     // then send rd.Messages, apply rd.Committed
 package replica
--- a/internal/state/wal/record.go
+++ b/internal/state/wal/record.go
@@ -7,9 +7,9 @@
 	"hash/crc32"
 	"io"
 
-	"github.com/pkg/errors"
-
 	"greengageweir/internal/state/replica"
+
+	"github.com/pkg/errors"
 )
 
 const (
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -25,11 +25,11 @@
 	"strings"
 	"syscall"
 
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
-
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/state/replica"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
 )
 
 // Kind tells the errors of this package apart.
