--- /dev/null
+++ b/internal/link/httpconn/httpconn_test.go
@@ -0,0 +1,141 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/fault"
+)
+
+// scripted serves each connection with a function and counts connections.
+func scripted(t *testing.T, serve func(conn net.Conn, rd *bufio.Reader)) (addr string, conns *atomic.Int32) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	conns = &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return lis.Addr().String(), conns
+}
+
+func readRequest(rd *bufio.Reader) bool {
+	req, err := http.ReadRequest(rd)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+// after reads a request, writes a text and hangs up.
+func after(text string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, rd *bufio.Reader) {
+		if readRequest(rd) {
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+}
+
+func post(t *testing.T) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://endpoint/work", strings.NewReader("body"))
+	require.NoError(t, err)
+	return req
+}
+
+// TestFailurePoints is the table of places where an exchange can break and
+// what may truthfully be said of each.
+func TestFailurePoints(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	cases := []struct {
+		name  string
+		serve func(net.Conn, *bufio.Reader)
+		kind  Kind // "" for a whole answer
+	}{
+		{"whole", after(head + "Content-Length: 2\r\n\r\nok"), ""},
+		{"whole and chunked", after(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), ""},
+		{"closed at once", func(net.Conn, *bufio.Reader) {}, KindBroken},
+		{"closed after the request", after(""), KindBroken},
+		{"closed in the status line", after("HTTP/1.1 2"), KindBroken},
+		{"closed in the header", after(head + "Content-Le"), KindBroken},
+		{"closed in the body", after(head + "Content-Length: 9\r\n\r\nhalf"), KindBroken},
+		{"closed in a chunk", after(head + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"), KindBroken},
+		{"closed before the last chunk", after(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), KindBroken},
+		{"no length", after(head + "\r\nmaybe whole"), KindBroken},
+		{"not HTTP", after("hello\r\n\r\n"), KindBroken},
+		{"too large", after(head + "Content-Length: 5000000\r\n\r\n" + strings.Repeat("x", MaxBodyBytes+2)), KindTooLarge},
+		{"silent", func(_ net.Conn, rd *bufio.Reader) { _, _ = io.Copy(io.Discard, rd) }, KindBroken},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, _ := scripted(t, tc.serve)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			resp, err := NewPool(addr, 1, clock.System{}).Do(ctx, post(t), false)
+			if tc.kind == "" {
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(resp.Body))
+				return
+			}
+			require.True(t, fault.Is(err, tc.kind), "got %v", err)
+		})
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := lis.Addr().String()
+	require.NoError(t, lis.Close())
+	_, err = NewPool(addr, 1, clock.System{}).Do(context.Background(), post(t), false)
+	require.True(t, fault.Is(err, KindNotSent), "nobody listens")
+
+	pl := NewPool(addr, 1, clock.System{})
+	pl.limit <- struct{}{}
+	_, err = pl.Do(context.Background(), post(t), false)
+	require.True(t, fault.Is(err, KindNotSent), "all connections in use")
+}
+
+// TestUnprovenConnection lets a kept connection go silent. Only a request
+// that may be repeated is put on it.
+func TestUnprovenConnection(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_800_000_000, 0))
+	addr, conns := scripted(t, func(conn net.Conn, rd *bufio.Reader) {
+		if readRequest(rd) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+		_, _ = io.Copy(io.Discard, rd)
+	})
+	pl := NewPool(addr, 4, clk)
+	_, err := pl.Do(context.Background(), post(t), false)
+	require.NoError(t, err)
+	clk.Advance(ProofAge + time.Millisecond)
+	_, err = pl.Do(context.Background(), post(t), false)
+	require.NoError(t, err, "a booking gets a new connection")
+	require.Equal(t, int32(2), conns.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = pl.Do(ctx, post(t), true)
+	require.True(t, fault.Is(err, KindBroken), "a read may find out")
+	require.Equal(t, int32(2), conns.Load())
+}
--- /dev/null
+++ b/internal/link/peer/peer_test.go
@@ -0,0 +1,137 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/duty/fault"
+)
+
+const testToken = "a-token-of-the-test"
+
+func startServer(t *testing.T, handle Handler) *Server {
+	sv := &Server{Addr: "127.0.0.1:0", Token: testToken, Handle: handle}
+	require.NoError(t, sv.Default())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = sv.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return sv
+}
+
+func startClient(t *testing.T, addr, token string) *Client {
+	cl := &Client{Addr: addr, Token: token, Self: Identity{ID: "e1"}}
+	require.NoError(t, cl.Default())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = cl.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return cl
+}
+
+func echo(_ context.Context, call Call) (any, error) {
+	if call.Method != "echo" {
+		return nil, Unknown(call.Method)
+	}
+	var text string
+	if err := call.Decode(&text); err != nil {
+		return nil, err
+	}
+	return call.From.ID + ":" + text, nil
+}
+
+func TestCall(t *testing.T) {
+	cl := startClient(t, startServer(t, echo).Address(), testToken)
+	require.Eventually(t, cl.Ready, 5*time.Second, time.Millisecond)
+	var got string
+	require.NoError(t, cl.Call(context.Background(), "echo", "hi", &got))
+	require.Equal(t, "e1:hi", got)
+	require.True(t, fault.Is(cl.Call(context.Background(), "nothing", 1, nil), KindRemote))
+	require.True(t, fault.Is(cl.Call(context.Background(), "echo", 1, nil), KindRemote), "wrong type")
+}
+
+func TestWrongTokenIsRefused(t *testing.T) {
+	called := atomic.Bool{}
+	sv := startServer(t, func(context.Context, Call) (any, error) { called.Store(true); return nil, nil })
+	cl := startClient(t, sv.Address(), "another-token-entirely")
+	time.Sleep(200 * time.Millisecond)
+	require.False(t, cl.Ready())
+	require.False(t, called.Load())
+	require.True(t, fault.Is(cl.Call(context.Background(), "echo", "hi", nil), KindNotSent))
+}
+
+func TestOversizedFrameEndsTheLink(t *testing.T) {
+	sv := startServer(t, echo)
+	conn, err := net.Dial("tcp", sv.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte{0xff, 0xff, 0xff, 0xff, '{'})
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadAll(conn)
+	require.NoError(t, err, "the server hangs up")
+}
+
+// TestSilentLinkIsReplaced puts a relay between both ends that stops
+// forwarding without closing anything.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	sv := startServer(t, echo)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	var silent atomic.Bool
+	var accepted atomic.Int32
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			first := accepted.Add(1) == 1
+			far, err := net.Dial("tcp", sv.Address())
+			if err != nil {
+				return
+			}
+			go relay(conn, far, func() bool { return first && silent.Load() })
+			go relay(far, conn, func() bool { return first && silent.Load() })
+		}
+	}()
+	cl := startClient(t, lis.Addr().String(), testToken)
+	require.Eventually(t, cl.Ready, 5*time.Second, time.Millisecond)
+	silent.Store(true)
+	require.Eventually(t, func() bool { return accepted.Load() == 2 && cl.Ready() }, 10*time.Second, 10*time.Millisecond)
+	var got string
+	require.NoError(t, cl.Call(context.Background(), "echo", "again", &got))
+}
+
+func relay(from, to net.Conn, silent func() bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if !silent() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
