--- a/cmd/weirstandin/main.go
+++ b/cmd/weirstandin/main.go
@@ -13,6 +13,7 @@
 	os.Exit(cli.Run("weirstandin", "Stand-ins for workers, platform and callers.", []cli.Command{
 		{Name: "workers", Short: "Run the workers of one site and their platform", Data: &workersCommand{}},
 		{Name: "load", Short: "Send a mix of bookings and reads and record the answers", Data: &loadCommand{}},
+		{Name: "relay", Short: "Forward between zones, and cut them off on request", Data: &relayCommand{}},
 		{Name: "verify", Short: "Compare answers and usage with what really ran", Data: &verifyCommand{}},
 	}))
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -149,8 +149,9 @@
 	if first {
 		// The flight outlives its caller, so that the outcome is recorded also
 		// for a caller that went away or whose deadline has passed.
+		detached := context.WithoutCancel(ctx)
 		go func() {
-			fl.answer = dp.runClaimed(context.WithoutCancel(ctx), req, attempt)
+			fl.answer = dp.runClaimed(detached, req, attempt)
 			dp.land(req.Key, fl)
 		}()
 	}
--- /dev/null
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -0,0 +1,264 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/contract/endpoint"
+	"greengageweir/internal/contract/peerapi"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/entry/ledger"
+	"greengageweir/internal/entry/place"
+	"greengageweir/internal/fleet/view"
+	"greengageweir/internal/link/peer"
+)
+
+// lonelyMesh is the mesh of an entry instance whose peers keep ledgers only.
+type lonelyMesh struct {
+	stores map[string]*ledger.Store
+	down   atomic.Bool
+}
+
+func (lm *lonelyMesh) Call(_ context.Context, id, method string, params, result any) error {
+	if lm.down.Load() {
+		return &peer.Error{Op: method, Kind: peer.KindNotSent}
+	}
+	switch par := params.(type) {
+	case peerapi.Reserve:
+		*result.(*peerapi.ReserveAnswer) = lm.stores[id].Reserve(clock.System{}.Now(), par)
+	case peerapi.Finish:
+		lm.stores[id].Finish(par)
+	default:
+		return errors.New(method)
+	}
+	return nil
+}
+func (lm *lonelyMesh) Ready(string) bool                    { return !lm.down.Load() }
+func (lm *lonelyMesh) Pick(weir.ServiceName) (string, bool) { return "", false }
+func (lm *lonelyMesh) Has(weir.ServiceName) bool            { return false }
+func (lm *lonelyMesh) Exhausted(string, weir.ServiceName)   {}
+
+// rig is a dispatcher with endpoints at the given addresses.
+type rig struct {
+	*Dispatcher
+	mesh *lonelyMesh
+}
+
+func newRig(t *testing.T, addrs ...string) *rig {
+	clk := clock.System{}
+	vw := view.View{Index: 1, Members: map[weir.InstanceID]view.Member{}}
+	vw.Config = model.Config{
+		Limits:   model.Limits{SlotsPerInstance: 8, ConnectionsPerInstance: 64},
+		Services: map[weir.ServiceName]model.Service{"desk": {Name: "desk", QueueLength: 8}},
+		Pools:    map[weir.PoolName]model.Pool{"desk": {Name: "desk", Service: "desk"}},
+	}
+	ids := []weir.InstanceID{"n0", "n1", "n2"}
+	for _, id := range ids[:len(addrs)] {
+		vw.Members[id] = view.Member{Instance: id, Pool: "desk", Phase: view.Serving}
+	}
+	tb := place.New(clk, "a")
+	tb.SetView(vw)
+	for ix, addr := range addrs {
+		require.True(t, tb.Announce(endpoint.Announcement{Instance: ids[ix], Address: addr, State: endpoint.Serving}).Granted)
+	}
+	old := clk.Now().Add(-time.Minute)
+	lm := &lonelyMesh{stores: map[string]*ledger.Store{}}
+	for _, id := range []string{"a1", "a2", "a3"} {
+		lm.stores[id] = ledger.NewStore(old, 10*time.Minute, 100)
+	}
+	return &rig{mesh: lm, Dispatcher: &Dispatcher{
+		Self: "a1", Zone: "a", Sites: []ledger.Site{{Entry: "a1", Zone: "a"}, {Entry: "a2", Zone: "a"}, {Entry: "a3", Zone: "a"}},
+		Table: tb, Mesh: lm, Store: lm.stores["a1"], Clock: clk,
+	}}
+}
+
+func (rg *rig) request(t *testing.T, repeatable, keyed bool) weir.Request {
+	req := weir.Request{
+		Service: "desk", Method: http.MethodPost, Path: "/work", Body: []byte("x"), Class: weir.Urgent,
+		Repeatable: repeatable, Deadline: rg.Clock.Now().Add(500 * time.Millisecond),
+	}
+	if keyed {
+		var err error
+		req.Key, err = ledger.NewKey("a", rg.Clock.Now())
+		require.NoError(t, err)
+	}
+	return req
+}
+
+// lead runs a request as its key's leader, whoever that is by rank.
+func (rg *rig) lead(req weir.Request) weir.Answer {
+	if req.Key == "" {
+		return rg.Do(context.Background(), req)
+	}
+	return rg.Lead(context.Background(), req)
+}
+
+func handler(t *testing.T, fn http.HandlerFunc) string {
+	sv := httptest.NewServer(fn)
+	t.Cleanup(sv.Close)
+	return sv.Listener.Addr().String()
+}
+
+func hangUp(rw http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+func refuseAll(rw http.ResponseWriter, _ *http.Request) {
+	rw.Header().Set(endpoint.HeaderRefused, endpoint.RefusedSlots)
+	http.Error(rw, "busy", http.StatusServiceUnavailable)
+}
+
+func fine(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "booked") }
+
+func slow(rw http.ResponseWriter, _ *http.Request) {
+	time.Sleep(900 * time.Millisecond)
+	_, _ = io.WriteString(rw, "booked late")
+}
+
+// TestOutcomes is the table of what a caller is told when the endpoint does
+// this or that.
+func TestOutcomes(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := lis.Addr().String()
+	require.NoError(t, lis.Close())
+	cases := []struct {
+		name       string
+		endpoint   http.HandlerFunc // nil where nobody listens
+		repeatable bool
+		keyed      bool
+		want       weir.OutcomeKind
+	}{
+		{"answers", fine, false, true, weir.Whole},
+		{"answers without a key", fine, false, false, weir.Whole},
+		{"server error is the endpoint's own answer", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(500) }, false, true, weir.Whole},
+		{"nobody listens", nil, false, true, weir.NotRun},
+		{"nobody listens, repeatable", nil, true, false, weir.NotRun},
+		{"refuses", refuseAll, false, true, weir.NotRun},
+		{"hangs up", hangUp, false, true, weir.Unknown},
+		{"hangs up, repeatable", hangUp, true, false, weir.Unknown},
+		{"too slow", slow, false, true, weir.Unknown},
+		{"too slow, repeatable", slow, true, false, weir.Unknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := nobody
+			if tc.endpoint != nil {
+				addr = handler(t, tc.endpoint)
+			}
+			rg := newRig(t, addr)
+			require.Equal(t, tc.want, rg.lead(rg.request(t, tc.repeatable, tc.keyed)).Kind)
+		})
+	}
+}
+
+func TestOnlyRepeatableIsTriedAgainAfterABreak(t *testing.T) {
+	var runs atomic.Int32
+	counted := func(rw http.ResponseWriter, req *http.Request) {
+		if runs.Add(1) == 1 {
+			hangUp(rw, req)
+			return
+		}
+		fine(rw, req)
+	}
+	rg := newRig(t, handler(t, counted))
+	require.Equal(t, weir.Unknown, rg.lead(rg.request(t, false, true)).Kind)
+	require.Equal(t, int32(1), runs.Load())
+	runs.Store(0)
+	for range 20 { // earn a retry
+		rg.withBudget(func(rb *retryBudget) bool { rb.earn(); return true })
+	}
+	require.Equal(t, weir.Whole, rg.lead(rg.request(t, true, false)).Kind)
+	require.Equal(t, int32(2), runs.Load())
+}
+
+func TestRetryBudgetBoundsRetries(t *testing.T) {
+	var runs atomic.Int32
+	rg := newRig(t, handler(t, func(rw http.ResponseWriter, req *http.Request) { runs.Add(1); hangUp(rw, req) }))
+	const requests = 100
+	for range requests {
+		rg.lead(rg.request(t, true, false))
+	}
+	require.LessOrEqual(t, int(runs.Load()), requests+requests/10+1)
+}
+
+func TestNotRunIsTriedElsewhere(t *testing.T) {
+	rg := newRig(t, handler(t, refuseAll), handler(t, refuseAll), handler(t, fine))
+	for range 3 {
+		ans := rg.lead(rg.request(t, false, true))
+		require.Contains(t, []weir.OutcomeKind{weir.Whole, weir.NotRun}, ans.Kind)
+	}
+}
+
+func TestSameKeyRunsOnce(t *testing.T) {
+	var runs atomic.Int32
+	rg := newRig(t, handler(t, func(rw http.ResponseWriter, req *http.Request) {
+		runs.Add(1)
+		time.Sleep(50 * time.Millisecond)
+		fine(rw, req)
+	}))
+	req := rg.request(t, false, true)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ans := rg.lead(req)
+			require.Equal(t, weir.Whole, ans.Kind)
+			require.Equal(t, "booked", string(ans.Body))
+		}()
+	}
+	wg.Wait()
+	again := rg.lead(req)
+	require.Equal(t, "booked", string(again.Body), "the recorded answer")
+	require.Equal(t, int32(1), runs.Load())
+}
+
+// TestLateAnswerIsRecorded lets the endpoint answer after the deadline: the
+// caller is told "unknown" and gets the outcome by asking again.
+func TestLateAnswerIsRecorded(t *testing.T) {
+	rg := newRig(t, handler(t, slow))
+	req := rg.request(t, false, true)
+	require.Equal(t, weir.Unknown, rg.lead(req).Kind)
+	require.Eventually(t, func() bool {
+		req.Deadline = rg.Clock.Now().Add(500 * time.Millisecond)
+		ans := rg.lead(req)
+		return ans.Kind == weir.Whole && string(ans.Body) == "booked late"
+	}, 5*time.Second, 50*time.Millisecond)
+}
+
+func TestWithoutLedgerMajorityNothingRuns(t *testing.T) {
+	var runs atomic.Int32
+	rg := newRig(t, handler(t, func(rw http.ResponseWriter, req *http.Request) { runs.Add(1); fine(rw, req) }))
+	rg.mesh.down.Store(true)
+	require.Equal(t, weir.Unknown, rg.lead(rg.request(t, false, true)).Kind)
+	require.Zero(t, runs.Load())
+	require.Equal(t, weir.Whole, rg.lead(rg.request(t, true, false)).Kind, "reads go on")
+}
+
+func TestBadKeys(t *testing.T) {
+	rg := newRig(t)
+	req := rg.request(t, false, true)
+	req.Key = "booking-1"
+	require.Equal(t, weir.NotRun, rg.Do(context.Background(), req).Kind)
+	old, err := ledger.NewKey("a", rg.Clock.Now().Add(-time.Hour))
+	require.NoError(t, err)
+	req.Key = old
+	require.Equal(t, weir.Unknown, rg.Do(context.Background(), req).Kind, "past retention it may have run")
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,7 +53,7 @@
 VERDICT=0
 "$BIN/weirstandin" verify --results "$OUT/results.json" --journals "$OUT/journals" --usage "$OUT/usage.json" || VERDICT=$?
 echo "roll-out: $(echo "$ROLLOUT" | tail -n 1)"
-"$BIN/weirctl" config status | head -n 1
+"$BIN/weirctl" config status | sed -n 1p
 "$BIN/weirctl" pool list
 BUSY=$("$BIN/weirctl" usage --output json | grep -o '"busyMillis": [0-9]*' | awk '{s += $2} END {print s}')
 echo "buffer cost: $(awk -v busy="$BUSY" 'BEGIN {printf "%.1f", 100 - busy / (50 * 8 * 24000) * 100}') percent of slot time idle during the load"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -26,22 +26,56 @@
 entry_zone() { echo "${ZONES[$((($1 - 1) % ${#ZONES[@]}))]}"; }
 entry_name() { echo "$(entry_zone "$1")-$((($1 - 1) / ${#ZONES[@]} + 1))"; }
 
-fleet_prepare() {
-  rm -rf "$OUT"
-  mkdir -p "$OUT/journals" "$OUT/logs"
-  echo "peer-token-for-loopback-only" >"$OUT/peer.token"
-  echo "asha operator-token-for-loopback-only" >"$OUT/operators"
-  echo "operator-token-for-loopback-only" >"$OUT/operator.token"
+# With RELAY=1 what one zone sends to a process in another goes through a relay
+# port: a port for each pair of sending zone and process.
+relay_control() { echo "127.0.0.1:$((BASE_PORT + 990))"; }
+relay_port() { echo $((BASE_PORT + 1000 + $1 * 50 + $2)); } # zone number, process number
+reach() { # zone number, process number, address, zone of the process
+  if [ -z "${RELAY:-}" ] || [ "${ZONES[$1]}" = "$4" ]; then echo "$3"; else echo "127.0.0.1:$(relay_port "$1" "$2")"; fi
+}
+control_zone() { echo "${ZONES[$((($1 - 1) % ${#ZONES[@]}))]}"; }
+
+# zone_flags fills CONTROL_FLAGS, MEMBER_FLAGS and ENTRY_FLAGS for a zone.
+zone_flags() {
+  local i
   CONTROL_FLAGS=()
   MEMBER_FLAGS=()
+  ENTRY_FLAGS=()
   for ((i = 1; i <= CONTROLS; i++)); do
-    CONTROL_FLAGS+=(--control "$(control_peer "$i")")
-    MEMBER_FLAGS+=(--member "c$i=$(control_peer "$i")")
+    local addr
+    addr=$(reach "$1" "$i" "$(control_peer "$i")" "$(control_zone "$i")")
+    CONTROL_FLAGS+=(--control "$addr")
+    MEMBER_FLAGS+=(--member "c$i=$addr")
   done
-  ENTRY_FLAGS=()
   for ((i = 1; i <= $(entry_count); i++)); do
-    ENTRY_FLAGS+=(--entry "$(entry_name "$i")=$(entry_zone "$i")=$(entry_peer "$i")")
+    ENTRY_FLAGS+=(--entry "$(entry_name "$i")=$(entry_zone "$i")=$(reach "$1" $((10 + i)) "$(entry_peer "$i")" "$(entry_zone "$i")")")
+  done
+}
+
+zone_number() {
+  local z
+  for z in "${!ZONES[@]}"; do [ "${ZONES[$z]}" = "$1" ] && echo "$z"; done
+}
+
+start_relay() {
+  local routes=() z i
+  for z in "${!ZONES[@]}"; do
+    for ((i = 1; i <= CONTROLS; i++)); do
+      routes+=(--route "${ZONES[$z]},127.0.0.1:$(relay_port "$z" "$i"),$(control_peer "$i"),$(control_zone "$i")")
+    done
+    for ((i = 1; i <= $(entry_count); i++)); do
+      routes+=(--route "${ZONES[$z]},127.0.0.1:$(relay_port "$z" $((10 + i))),$(entry_peer "$i"),$(entry_zone "$i")")
+    done
   done
+  launch relay "$BIN/weirstandin" relay --control-addr "$(relay_control)" "${routes[@]}"
+}
+
+fleet_prepare() {
+  rm -rf "$OUT"
+  mkdir -p "$OUT/journals" "$OUT/logs"
+  echo "peer-token-for-loopback-only" >"$OUT/peer.token"
+  echo "asha operator-token-for-loopback-only" >"$OUT/operators"
+  echo "operator-token-for-loopback-only" >"$OUT/operator.token"
   PLATFORM_FLAGS=()
   for z in "${!ZONES[@]}"; do
     PLATFORM_FLAGS+=(--platform "${ZONES[$z]}=$(platform_addr "$z")")
@@ -61,12 +95,14 @@
 }
 
 start_control() {
-  launch "c$1" "$BIN/greengageweir" control --id "c$1" --zone "${ZONES[$((($1 - 1) % ${#ZONES[@]}))]}" \
+  zone_flags "$(zone_number "$(control_zone "$1")")"
+  launch "c$1" "$BIN/greengageweir" control --id "c$1" --zone "$(control_zone "$1")" \
     --peer-addr "$(control_peer "$1")" --ops-addr "$(control_ops "$1")" --data-dir "$OUT/c$1" \
     "${MEMBER_FLAGS[@]}" "${PLATFORM_FLAGS[@]}" "${COMMON_FLAGS[@]}"
 }
 
 start_entry() {
+  zone_flags "$(zone_number "$(entry_zone "$1")")"
   launch "$(entry_name "$1")" "$BIN/greengageweir" entry --id "$(entry_name "$1")" --zone "$(entry_zone "$1")" \
     --peer-addr "$(entry_peer "$1")" --ops-addr "$(entry_ops "$1")" \
     --caller-addr "$(entry_caller "$1")" --endpoint-addr "$(entry_endpoint "$1")" \
@@ -83,6 +119,7 @@
 }
 
 fleet_start() {
+  [ -z "${RELAY:-}" ] || start_relay
   for ((i = 1; i <= CONTROLS; i++)); do
     "$BIN/greengageweir" control-format --data-dir "$OUT/c$i"
     start_control "$i"
