fix: a zone's announcements at once cost O(workers), not O(workers squared)

Change: a worker joins and leaves its group by itself; only a new view regroups all. Usage reports are spaced out to 500 a second for the fleet, since each passes through the log.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
 slopes: build
-	scripts/slopes.sh
+	$(BIN)/weirstandin slopes
 
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/cmd/weirstandin/slopes.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/standin/slopes"
+)
+
+// slopesCommand measures slopes and writes the capacity page's table.
+type slopesCommand struct {
+	Out  string `long:"out" default:"docs/slopes.json" description:"File for the measured slopes"`
+	Page string `long:"page" default:"docs/CAPACITY.md" description:"Page whose table is written"`
+}
+
+// Execute implements flags.Commander.
+func (sc *slopesCommand) Execute([]string) error {
+	rep, err := slopes.Measure(clock.System{}, os.Stderr)
+	if err != nil {
+		return err
+	}
+	if err := rep.Write(sc.Out); err != nil {
+		return err
+	}
+	table, err := slopes.Table(rep)
+	if err != nil {
+		return err
+	}
+	fmt.Print(table)
+	return slopes.WritePage(sc.Page, table)
+}
--- a/internal/contract/endpoint/endpoint.go
+++ b/internal/contract/endpoint/endpoint.go
@@ -111,7 +111,10 @@
 	// LeaseMillis is how long the lease holds from the time of the request.
 	LeaseMillis int64 `json:"leaseMillis"`
 	// EveryMillis is when to announce again.
-	EveryMillis int64            `json:"everyMillis"`
+	EveryMillis int64 `json:"everyMillis"`
+	// UsageMillis is the shortest time between two usage reports; one that
+	// leaves reports at once.
+	UsageMillis int64            `json:"usageMillis"`
 	View        uint64           `json:"view"`
 	Service     weir.ServiceName `json:"service,omitempty"`
 	Slots       int              `json:"slots"`
--- a/internal/control/hub/hub_test.go
+++ b/internal/control/hub/hub_test.go
@@ -61,7 +61,7 @@
 }
 
 // subscribe links a listener to a hub.
-func subscribe(t *testing.T, hb *Hub, have uint64) (*listener, *jsonrpc2.Conn) {
+func subscribe(t *testing.T, hb *Hub, have uint64) *listener {
 	near, far := net.Pipe()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -70,7 +70,7 @@
 	jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(far, codec), li)
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(near, codec), &listener{})
 	hb.Subscribe(ctx, conn, have)
-	return li, conn
+	return li
 }
 
 func TestSubscribersGetEverything(t *testing.T) {
@@ -90,20 +90,20 @@
 		hb.Publish(eff)
 	}
 	rng := rand.New(rand.NewSource(1))
-	early, _ := subscribe(t, hb, 0)
+	early := subscribe(t, hb, 0)
 	index := uint64(0)
 	for range 500 {
 		index += 1 + uint64(rng.Intn(3))
 		publish(index)
 	}
 	middle := index
-	behind, _ := subscribe(t, hb, 0)
+	behind := subscribe(t, hb, 0)
 	for range keptEffects * 3 {
 		index++
 		publish(index)
 	}
-	late, _ := subscribe(t, hb, middle) // its effects are no longer kept
-	ahead, _ := subscribe(t, hb, index+5)
+	late := subscribe(t, hb, middle) // its effects are no longer kept
+	ahead := subscribe(t, hb, index+5)
 	for _, li := range []*listener{early, behind, late} {
 		require.Eventually(t, func() bool { return li.index() == index }, 10*time.Second, time.Millisecond)
 		require.Zero(t, li.gaps)
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -147,7 +147,7 @@
 	}{
 		{"answers", fine, false, true, weir.Whole},
 		{"answers without a key", fine, false, false, weir.Whole},
-		{"server error is the endpoint's own answer", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(500) }, false, true, weir.Whole},
+		{"server error is the endpoint's own answer", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusInternalServerError) }, false, true, weir.Whole},
 		{"nobody listens", nil, false, true, weir.NotRun},
 		{"nobody listens, repeatable", nil, true, false, weir.NotRun},
 		{"refuses", refuseAll, false, true, weir.NotRun},
--- a/internal/entry/place/announce.go
+++ b/internal/entry/place/announce.go
@@ -18,6 +18,10 @@
 	LeaseTime = 3 * time.Second
 	// AnnounceEvery is when an endpoint announces itself again.
 	AnnounceEvery = time.Second
+
+	// usageReportsPerSecond bounds the usage reports of the whole fleet, which
+	// all pass through the replicated log.
+	usageReportsPerSecond = 500
 )
 
 // Announce takes an endpoint's announcement and grants or refuses a lease.
@@ -44,10 +48,16 @@
 	}
 	return endpoint.Answer{
 		Granted: true, LeaseMillis: LeaseTime.Milliseconds(), EveryMillis: AnnounceEvery.Milliseconds(),
-		View: tb.view.Index, Service: wk.service, Slots: tb.slots(), Settled: tb.usage.settledUpTo(wk.id, wk.lease.Incarnation),
+		UsageMillis: usageEvery(len(tb.view.Members)).Milliseconds(),
+		View:        tb.view.Index, Service: wk.service, Slots: tb.slots(), Settled: tb.usage.settledUpTo(wk.id, wk.lease.Incarnation),
 	}
 }
 
+// usageEvery returns the time between two usage reports of one endpoint.
+func usageEvery(fleet int) time.Duration {
+	return max(AnnounceEvery, time.Duration(fleet)*time.Second/usageReportsPerSecond)
+}
+
 // refusal tells why a lease is not granted, or "". An endpoint that has seen a
 // newer view than this entry instance is refused: it may have been drained
 // under that view.
@@ -74,6 +84,7 @@
 	}
 	if known {
 		old.conns.Close()
+		tb.detach(old)
 	}
 	wk := &worker{
 		id: ann.Instance, lease: ann.Lease, addr: ann.Address, foreign: ann.InFlight,
@@ -85,7 +96,7 @@
 	}
 	tb.workers[ann.Instance] = wk
 	tb.dirty[wk.id] = true
-	tb.regroup()
+	tb.attach(wk)
 	return wk
 }
 
@@ -108,12 +119,16 @@
 		}
 		if expired && wk.busy == 0 {
 			wk.conns.Close()
+			tb.detach(wk)
 			delete(tb.workers, id)
 			tb.usage.forget(id)
 		}
 	}
 	clear(tb.dirty)
-	tb.regroup()
+	// Pauses of ejected workers end without any other event.
+	for _, sq := range tb.queues {
+		tb.pump(now, sq)
+	}
 	return list
 }
 
--- a/internal/entry/place/place_test.go
+++ b/internal/entry/place/place_test.go
@@ -305,3 +305,22 @@
 		})
 	}
 }
+
+// BenchmarkTakeZone measures the announcements of a whole zone at once, as
+// after the restart of an entry instance.
+func BenchmarkTakeZone(b *testing.B) {
+	for _, count := range []int{50, 500, 2000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			clk := clock.NewManual(time.Unix(1_800_000_000, 0))
+			vw := testView(1, count)
+			for b.Loop() {
+				tb := New(clk, "north")
+				tb.SetView(vw)
+				for ix := range count {
+					tb.Announce(announcement(weir.InstanceID(fmt.Sprintf("n%d", ix)), 1))
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(count), "ns/worker")
+		})
+	}
+}
--- a/internal/entry/place/table.go
+++ b/internal/entry/place/table.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,11 +104,7 @@
 		sq.workers = sq.workers[:0]
 	}
 	for _, wk := range tb.workers {
-		wk.service, wk.serving = tb.view.Serves(wk.id)
-		if wk.serving {
-			sq := tb.queue(wk.service)
-			sq.workers = append(sq.workers, wk)
-		}
+		tb.attach(wk)
 	}
 	now := tb.clk.Now()
 	for _, sq := range tb.queues {
@@ -115,6 +112,25 @@
 	}
 }
 
+// attach puts a worker into the group of the service that the view gives it.
+func (tb *Table) attach(wk *worker) {
+	wk.service, wk.serving = tb.view.Serves(wk.id)
+	if wk.serving {
+		sq := tb.queue(wk.service)
+		sq.workers = append(sq.workers, wk)
+	}
+}
+
+// detach takes a worker out of its group.
+func (tb *Table) detach(wk *worker) {
+	if !wk.serving {
+		return
+	}
+	sq := tb.queue(wk.service)
+	sq.workers = slices.DeleteFunc(sq.workers, func(other *worker) bool { return other == wk })
+	wk.serving = false
+}
+
 func (tb *Table) queue(service weir.ServiceName) *serviceQueue {
 	sq, ok := tb.queues[service]
 	if !ok {
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -136,6 +136,9 @@
 	return nil
 }
 
+// Address returns the address that is listened on.
+func (an *Announcements) Address() string { return an.listener.Addr().String() }
+
 // Run serves until the context ends.
 func (an *Announcements) Run(ctx context.Context) error {
 	return ops.Serve(ctx, an.server, an.listener, stopPatience)
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/fault"
 )
 
@@ -85,7 +86,7 @@
 	defer conn.Close()
 	_, err = conn.Write([]byte{0xff, 0xff, 0xff, 0xff, '{'})
 	require.NoError(t, err)
-	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	require.NoError(t, conn.SetReadDeadline(clock.System{}.Now().Add(5*time.Second)))
 	_, err = io.ReadAll(conn)
 	require.NoError(t, err, "the server hangs up")
 }
--- a/internal/standin/worker/announce.go
+++ b/internal/standin/worker/announce.go
@@ -53,6 +53,7 @@
 	if ans.Slots > 0 {
 		wk.slots = ans.Slots
 	}
+	wk.usageEvery = time.Duration(ans.UsageMillis) * time.Millisecond
 	wk.settle(ann.Lease.Incarnation, ans.Settled)
 	if wk.seenView > ann.SeenView {
 		// Tell at once that a newer view was seen; a drain may wait for it.
@@ -84,9 +85,11 @@
 
 // cutReport turns what was counted into the next numbered report.
 func (wk *Worker) cutReport() {
-	if len(wk.totals) == 0 {
+	now := wk.Clock.Now()
+	if len(wk.totals) == 0 || (now.Before(wk.nextReport) && !wk.leaving && !wk.flushing) {
 		return
 	}
+	wk.nextReport = now.Add(wk.usageEvery)
 	wk.sequence++
 	rep := command.UsageReport{Instance: wk.ID, Incarnation: wk.lease.Incarnation, Sequence: wk.sequence}
 	for _, sum := range wk.totals {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -70,10 +70,14 @@
 	peak     int
 	totals   map[usageKey]*command.UsageTotal
 	sequence uint64
-	reports  []command.UsageReport
-	done     map[string]bool
-	wake     chan struct{}
-	client   *http.Client
+	// nextReport is when the next usage report may be made.
+	nextReport time.Time
+	usageEvery time.Duration
+	flushing   bool
+	reports    []command.UsageReport
+	done       map[string]bool
+	wake       chan struct{}
+	client     *http.Client
 }
 
 type usageKey struct {
@@ -168,10 +172,12 @@
 	if wk.inFlight > 0 {
 		_ = wk.Journal.Add(Run{Task: operation, Instance: wk.ID, Cut: true})
 	}
+	wk.flushing = true
 	wk.mu.Unlock()
 	wk.nudge()
 	wk.await(settlePatience, func() bool { return len(wk.reports) == 0 && len(wk.totals) == 0 })
 	wk.mu.Lock()
+	wk.flushing = false
 	wk.down = true
 	wk.granted = false
 	wk.mu.Unlock()
--- a/internal/state/node/node_test.go
+++ b/internal/state/node/node_test.go
@@ -33,6 +33,7 @@
 	defer co.mu.Unlock()
 	return []byte(fmt.Sprint(len(co.list))), nil
 }
+
 func (co *counter) Restore(_ uint64, data []byte) error {
 	co.mu.Lock()
 	defer co.mu.Unlock()
