--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 DURATION ?= 60s
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test lint fmt unit check-examples soak bench slopes tools clean
+.PHONY: all build demo test lint fmt unit check-examples soak kill-each bench slopes clean
 
 all: build
 
@@ -41,6 +41,9 @@
 soak: build
 	scripts/soak.sh $(SEED) $(DURATION)
 
+kill-each: build
+	scripts/kill-each.sh
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
