test: every rule is missed when it is taken out

Cause: a test that passes without the rule it stands for proves nothing. scripts/mutants.sh took out 33 rules one at a time; 7 were not missed: commit of the own term only, up-to-date logs for votes, learners not counted, pre-vote, the cut of a torn tail, no retry after a break, views that go forward only.

--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -178,12 +178,12 @@
 		fine(rw, req)
 	}
 	rg := newRig(t, handler(t, counted))
+	for range 50 { // earn retries
+		rg.withBudget(func(rb *retryBudget) bool { rb.earn(); return true })
+	}
 	require.Equal(t, weir.Unknown, rg.lead(rg.request(t, false, true)).Kind)
 	require.Equal(t, int32(1), runs.Load())
 	runs.Store(0)
-	for range 20 { // earn a retry
-		rg.withBudget(func(rb *retryBudget) bool { rb.earn(); return true })
-	}
 	require.Equal(t, weir.Whole, rg.lead(rg.request(t, true, false)).Kind)
 	require.Equal(t, int32(2), runs.Load())
 }
--- /dev/null
+++ b/internal/fleet/view/view_test.go
@@ -0,0 +1,31 @@
+package view
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	weir "greengageweir"
+	"greengageweir/internal/config/model"
+	"greengageweir/internal/duty/fault"
+)
+
+func TestViewGoesForwardOnly(t *testing.T) {
+	first := Effect{Index: 3, Number: 1, Config: &model.Delta{Name: "one"}, Members: []Member{{Instance: "n0", Pool: "desk", Phase: Serving}}}
+	second := Effect{After: 3, Index: 7, Number: 2, Config: &model.Delta{Name: "two"}, Gone: []weir.InstanceID{"n0"}}
+	vw, err := View{}.With(first)
+	require.NoError(t, err)
+	require.Equal(t, "one", vw.Config.Name)
+	newer, err := vw.With(second)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), newer.Index)
+	require.Empty(t, newer.Members)
+	require.Len(t, vw.Members, 1, "the earlier view is unchanged")
+	for _, old := range []Effect{first, second} {
+		again, err := newer.With(old)
+		require.NoError(t, err, "a late effect does no harm")
+		require.Equal(t, newer, again)
+	}
+	_, err = newer.With(Effect{After: 8, Index: 9})
+	require.True(t, fault.Is(err, KindGap))
+}
--- a/internal/state/node/node_test.go
+++ b/internal/state/node/node_test.go
@@ -157,7 +157,8 @@
 	second := gr.leader().ID
 	gr.stop(second)
 	gr.commit("with the readmitted member")
-	require.GreaterOrEqual(t, gr.sms[old].size(), 601)
+	// A follower applies what is committed a moment after the leader.
+	require.Eventually(t, func() bool { return gr.sms[old].size() >= 601 }, 30*time.Second, 5*time.Millisecond)
 	gr.start(second, second)
 	require.Eventually(t, func() bool { return gr.sms[second].size() >= 601 }, 30*time.Second, 5*time.Millisecond)
 }
--- /dev/null
+++ b/internal/state/replica/rules_test.go
@@ -0,0 +1,126 @@
+package replica
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var ruleTime = time.Unix(1_800_000_000, 0)
+
+// loneCore returns one member of three with a log of entries of these terms.
+func loneCore(hard Hard, terms ...uint64) *Core {
+	co := &Core{
+		ID: "c1", Members: []string{"c1", "c2", "c3"}, Election: testElection, Heartbeat: testHeartbeat,
+		Rand: rand.New(rand.NewSource(1)),
+	}
+	var list []Entry
+	for ix, term := range terms {
+		list = append(list, Entry{Index: uint64(ix) + 1, Term: term, Kind: EntryCommand})
+	}
+	co.Restore(ruleTime, hard, Snapshot{}, list)
+	return co
+}
+
+// flush does what the core asks for and returns what it says.
+func (co *Core) flush() []Message {
+	var said []Message
+	for {
+		rd := co.Ready()
+		if rd.Empty() {
+			return said
+		}
+		co.Synced(ruleTime, rd)
+		said = append(append(said, rd.Early...), rd.Messages...)
+	}
+}
+
+// lead makes the core the leader with the vote of c2.
+func (co *Core) lead(t *testing.T) {
+	co.Tick(ruleTime.Add(3 * testElection))
+	co.flush()
+	co.Step(ruleTime, Message{Kind: MsgPreVoteReply, From: "c2", To: "c1", Term: co.hard.Term + 1})
+	co.flush()
+	co.Step(ruleTime, Message{Kind: MsgVoteReply, From: "c2", To: "c1", Term: co.hard.Term})
+	co.flush()
+	require.Equal(t, Leader, co.Role())
+}
+
+func (co *Core) acknowledge(index uint64, learner bool) {
+	co.Step(ruleTime, Message{Kind: MsgAppendReply, From: "c2", To: "c1", Term: co.hard.Term, Index: index, Learner: learner, Disk: "d2"})
+	co.flush()
+}
+
+// TestLeaderCommitsOnlyItsOwnTerm is the case of figure 8 of the Raft paper.
+func TestLeaderCommitsOnlyItsOwnTerm(t *testing.T) {
+	co := loneCore(Hard{Term: 2, Disk: "d1"}, 1, 2)
+	co.lead(t)
+	co.acknowledge(2, false)
+	require.Zero(t, co.Status().Commit, "an entry of an earlier term is not committed by counting")
+	co.acknowledge(3, false)
+	require.Equal(t, uint64(3), co.Status().Commit)
+}
+
+func TestLearnersAreNotCounted(t *testing.T) {
+	co := loneCore(Hard{Term: 2, Disk: "d1"}, 1, 2)
+	co.lead(t)
+	co.acknowledge(3, true)
+	require.Zero(t, co.Status().Commit)
+	co.acknowledge(3, false)
+	require.Equal(t, uint64(3), co.Status().Commit)
+}
+
+// TestLostDisksRepliesDoNotCount lets a reply of a disk that was lost arrive
+// behind the first of the new disk.
+func TestLostDisksRepliesDoNotCount(t *testing.T) {
+	co := loneCore(Hard{Term: 2, Disk: "d1"}, 1, 2)
+	co.lead(t)
+	reply := func(index uint64, disk string, learner bool) {
+		co.Step(ruleTime, Message{Kind: MsgAppendReply, From: "c2", To: "c1", Term: co.hard.Term, Index: index, Learner: learner, Disk: disk})
+		co.flush()
+	}
+	reply(1, "old", false)
+	reply(0, "new", true)
+	reply(3, "old", false)
+	require.Zero(t, co.Status().Commit)
+}
+
+func TestVoteTable(t *testing.T) {
+	cases := []struct {
+		name  string
+		hard  Hard
+		msg   Message
+		heard bool // a leader was heard just now
+		grant bool
+	}{
+		{"better log", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 3, LogTerm: 2}, false, true},
+		{"same log", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 2, LogTerm: 2}, false, true},
+		{"shorter log", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 1, LogTerm: 2}, false, false},
+		{"longer log of an older term", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 9, LogTerm: 1}, false, false},
+		{"older term", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 1, Index: 9, LogTerm: 2}, false, false},
+		{"voted for another", Hard{Term: 3, Vote: "c3", Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 9, LogTerm: 2}, false, false},
+		{"voted for the same", Hard{Term: 3, Vote: "c2", Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 9, LogTerm: 2}, false, true},
+		{"learner", Hard{Term: 2, Learner: true, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 9, LogTerm: 2}, false, false},
+		{"leader is alive", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgVote, Term: 3, Index: 9, LogTerm: 2}, true, false},
+		{"pre-vote", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgPreVote, Term: 3, Index: 3, LogTerm: 2}, false, true},
+		{"pre-vote, shorter log", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgPreVote, Term: 3, Index: 1, LogTerm: 2}, false, false},
+		{"pre-vote, leader is alive", Hard{Term: 2, Disk: "d"}, Message{Kind: MsgPreVote, Term: 3, Index: 9, LogTerm: 2}, true, false},
+		{"pre-vote of a learner", Hard{Term: 2, Learner: true, Disk: "d"}, Message{Kind: MsgPreVote, Term: 3, Index: 9, LogTerm: 2}, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			co := loneCore(tc.hard, 1, 2)
+			if tc.heard {
+				co.Step(ruleTime, Message{Kind: MsgAppend, From: "c3", To: "c1", Term: 2, Index: 2, LogTerm: 2})
+				co.flush()
+			}
+			tc.msg.From, tc.msg.To = "c2", "c1"
+			co.Step(ruleTime, tc.msg)
+			said := co.flush()
+			require.Len(t, said, 1)
+			require.Equal(t, tc.grant, !said[0].Reject)
+		})
+	}
+}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -107,6 +107,9 @@
 			}
 			require.NoError(t, err)
 			require.Equal(t, entries(1, uint64(tc.kept)), st.Entries)
+			info, err := os.Stat(path)
+			require.NoError(t, err)
+			require.Equal(t, lg.Size(), info.Size(), "nothing is left behind the last record")
 			require.NoError(t, lg.Append(nil, entries(uint64(tc.kept)+1, uint64(tc.kept)+1)))
 			require.NoError(t, lg.Close())
 			lg, st, err = Open(dir)
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# Takes one rule at a time out of a scratch copy and expects the tests to
+# notice. A rule that nobody misses is a rule without a proof.
+# Usage: scripts/mutants.sh [name]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+SCRATCH=$(mktemp -d)
+trap 'rm -rf "$SCRATCH"' EXIT
+MISSED=0
+
+# mutant NAME FILE 'sed expression' PACKAGE...
+mutant() {
+  local name=$1 file=$2 edit=$3
+  shift 3
+  [ -z "${ONLY:-}" ] || [ "$ONLY" = "$name" ] || return 0
+  rm -rf "$SCRATCH/repo"
+  mkdir -p "$SCRATCH/repo"
+  cp -r go.mod go.sum weir.go internal docs examples "$SCRATCH/repo/"
+  sed -i "$edit" "$SCRATCH/repo/$file"
+  if cmp -s "$file" "$SCRATCH/repo/$file"; then
+    echo "$name: the edit changes nothing"
+    MISSED=1
+    return
+  fi
+  if (cd "$SCRATCH/repo" && WEIR_INVARIANTS_FATAL=1 timeout 120 go test -count=1 -timeout 110s "$@") >"$SCRATCH/out" 2>&1; then
+    echo "$name: NOT caught"
+    MISSED=1
+  elif grep -q 'build failed\|cannot use\|declared and not used\|imported and not used' "$SCRATCH/out"; then
+    echo "$name: does not build"
+    MISSED=1
+  else
+    echo "$name: caught by $(grep -o -m1 -- '--- FAIL: [A-Za-z]*\|panic: [a-z ]*[A-Za-z]*' "$SCRATCH/out" | head -n 1)"
+  fi
+}
+
+ONLY=${1:-}
+R=internal/state/replica
+mutant commit-only-own-term $R/append.go 's/index <= co.commit || co.log.term(index) != co.hard.Term/index <= co.commit/' ./$R
+mutant vote-needs-up-to-date-log $R/elect.go 's/free \&\& co.role == Follower \&\& co.upToDate(msg)/free \&\& co.role == Follower/' ./$R
+mutant one-vote-a-term $R/elect.go 's/free := co.hard.Vote == "" || co.hard.Vote == msg.From/free := true/' ./$R
+mutant vote-is-synced $R/core.go 's/^\tco.hard.Vote = vote$/\tco.hard.Vote = vote\n\treturn/' ./$R
+mutant learner-does-not-vote $R/elect.go 's/grant := !co.hard.Learner \&\& free/grant := free/' ./$R
+mutant learner-is-not-counted $R/append.go 's/if pr.learner {$/if false {/' ./$R
+mutant check-quorum $R/core.go 's/if !co.quorumHeard(now) {/if false {/' ./$R
+mutant pre-vote $R/elect.go 's/!co.leaderAlive(now) \&\& co.upToDate(msg)$/true/' ./$R
+mutant late-snapshot-keeps-log $R/append.go 's/case co.log.term(snap.Index) == snap.Term:/case false:/' ./$R
+mutant torn-tail-is-cut internal/state/wal/wal.go 's/lg.file.Truncate(lg.size)/lg.file.Truncate(info.Size())/' ./internal/state/wal
+mutant damage-is-refused internal/state/wal/wal.go 's/if wholeRecordInside(rest) {/if false {/' ./internal/state/wal
+M=internal/fleet/machine
+mutant budget $M/drain.go 's/if left < want {/if false {/' ./$M
+mutant consent-of-view $M/drain.go 's/co.View < mem.Since || //' ./$M
+mutant consent-of-owner $M/drain.go 's/ || co.Epoch != sta.Epoch || co.Entry != sta.Entry//' ./$M
+mutant expected-number $M/config.go 's/if ca.Expected != st.Number {/if false {/' ./$M
+mutant request-id $M/machine.go 's/ok \&\& cmd.RequestID != ""/ok \&\& false/' ./$M
+mutant usage-in-sequence $M/report.go 's/rep.Sequence == \*last+1/rep.Sequence > *last/' ./$M
+mutant usage-once $M/report.go 's/if rep.Sequence == \*last+1 {/if true {/' ./$M
+mutant release-needs-new-incarnation $M/drain.go 's/ || sta.Incarnation <= mem.OldIncarnation//' ./$M
+L=internal/entry/ledger
+mutant ledger-floor $L/store.go 's/case !key.Stamp.After(st.floor):/case false:/' ./$L
+mutant ledger-majority $L/group.go 's/majority := len(gr.Replicas)\/2 + 1/majority := 1/' ./$L
+mutant forgotten-keys-stay-out $L/store.go 's/ || key.Stamp.Unix()\/60 < st.swept//' ./$L
+mutant slots internal/entry/place/endpoint.go 's/slots-wk.busy-wk.foreign/slots-wk.foreign/' ./internal/entry/place
+mutant slots-of-earlier-owner internal/entry/place/endpoint.go 's/slots-wk.busy-wk.foreign/slots-wk.busy/' ./internal/entry/place
+mutant older-view-is-refused internal/entry/place/announce.go 's/case tb.view.Index < ann.SeenView || tb.view.Index == 0:/case false:/' ./internal/entry/place
+mutant older-lease-is-refused internal/entry/place/announce.go 's/case known \&\& ann.Lease.Before(old.lease):/case known \&\& old == nil:/' ./internal/entry/place
+mutant consent-needs-seen-view internal/entry/place/announce.go 's/ || wk.seen < mem.Since//' ./internal/entry/place
+mutant half-ejected-at-most internal/entry/place/table.go 's/return 2\*(ejected+1) <= len(sq.workers)/return true/' ./internal/entry/place
+mutant unproven-connection internal/link/httpconn/httpconn.go 's/maxAge := ProofAge/maxAge := idleAge/' ./internal/link/httpconn
+mutant answer-needs-length internal/link/httpconn/httpconn.go 's/raw.ContentLength < 0 \&\& len(raw.TransferEncoding) == 0/false/' ./internal/link/httpconn
+mutant broken-is-not-retried internal/entry/dispatch/dispatch.go 's/if !req.Repeatable || ans.Kind != weir.Unknown {/if ans.Kind != weir.Unknown {/' ./internal/entry/dispatch
+mutant view-never-reverts internal/fleet/view/view.go 's/if eff.Index <= vw.Index {/if false {/' ./internal/control/hub ./internal/fleet/...
+mutant effects-are-chained internal/fleet/view/view.go 's/if eff.After != vw.Index {/if false {/' ./internal/control/hub ./internal/fleet/...
+if [ $MISSED -ne 0 ]; then
+  echo "mutants: some rules are not missed"
+  exit 1
+fi
+echo "mutants: all caught"
