--- a/Makefile
+++ b/Makefile
@@ -44,8 +44,9 @@
 kill-each: build
 	scripts/kill-each.sh
 
-bench:
+bench: build
 	$(GO) test -run '^$$' -bench . -benchmem ./...
+	$(BIN)/weirstandin peaks
 
 slopes: build
 	$(BIN)/weirstandin slopes
--- a/internal/entry/place/announce.go
+++ b/internal/entry/place/announce.go
@@ -44,7 +44,7 @@
 	}
 	tb.usage.add(ann.Usage)
 	if wk.serving {
-		tb.pump(now, tb.queue(wk.service))
+		tb.pumpFor(now, wk)
 	}
 	return endpoint.Answer{
 		Granted: true, LeaseMillis: LeaseTime.Milliseconds(), EveryMillis: AnnounceEvery.Milliseconds(),
@@ -126,9 +126,7 @@
 	}
 	clear(tb.dirty)
 	// Pauses of ejected workers end without any other event.
-	for _, sq := range tb.queues {
-		tb.pump(now, sq)
-	}
+	tb.pumpAll(now)
 	return list
 }
 
@@ -198,6 +196,7 @@
 			}
 		}
 	}
+	tb.addLent(now, free)
 	return free
 }
 
--- a/internal/entry/place/place_test.go
+++ b/internal/entry/place/place_test.go
@@ -161,6 +161,44 @@
 	}
 }
 
+// TestSparePoolLends covers what another service may take from a spare pool:
+// free slots but for the reserve, and nothing while its own requests wait.
+func TestSparePoolLends(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_800_000_000, 0))
+	tb := New(clk, "north")
+	vw := testView(1, 10)
+	vw.Config.Services["lab"] = model.Service{Name: "lab", QueueLength: 3}
+	vw.Config.Pools["desk"] = model.Pool{Name: "desk", Service: "desk", Spare: true}
+	tb.SetView(vw)
+	for id := range vw.Members {
+		require.True(t, tb.Announce(announcement(id, 1)).Granted)
+	}
+	lab := request(clk)
+	lab.Service = "lab"
+	require.Equal(t, 18, tb.Free()["lab"])
+	var lent []*Slot
+	for {
+		slot, err := tb.TryAcquire(lab)
+		if err != nil {
+			break
+		}
+		lent = append(lent, slot)
+	}
+	require.Len(t, lent, 18, "a tenth of twenty slots stays for its own service")
+	for range 2 {
+		_, err := tb.TryAcquire(request(clk))
+		require.NoError(t, err, "its own requests get the reserve")
+	}
+	own := wait(tb, request(clk))
+	other := wait(tb, lab)
+	lent[0].Release(Succeeded)
+	require.NoError(t, <-own, "its own request goes first")
+	for _, slot := range lent[1:4] {
+		slot.Release(Succeeded)
+	}
+	require.NoError(t, <-other)
+}
+
 // wait starts an Acquire and returns its outcome.
 func wait(tb *Table, req *weir.Request) <-chan error {
 	done := make(chan error, 1)
--- a/internal/entry/place/queue.go
+++ b/internal/entry/place/queue.go
@@ -93,6 +93,7 @@
 
 // serviceQueue holds what waits for one service, and its slots' use.
 type serviceQueue struct {
+	service    weir.ServiceName
 	urgent     *lane
 	deferrable *lane
 	busy       int
@@ -104,8 +105,8 @@
 	workers     []*worker
 }
 
-func newServiceQueue() *serviceQueue {
-	return &serviceQueue{urgent: newLane(), deferrable: newLane(), teamBusy: map[weir.TeamName]int{}}
+func newServiceQueue(service weir.ServiceName) *serviceQueue {
+	return &serviceQueue{service: service, urgent: newLane(), deferrable: newLane(), teamBusy: map[weir.TeamName]int{}}
 }
 
 func (sq *serviceQueue) waiting() int { return sq.urgent.count + sq.deferrable.count }
--- a/internal/entry/place/table.go
+++ b/internal/entry/place/table.go
@@ -57,6 +57,8 @@
 	dirty    map[weir.InstanceID]bool
 	usage    usageBuffer
 	stopping bool
+	// spares are the queues of the services whose pools lend slots.
+	spares []*serviceQueue
 }
 
 // New returns an empty table of an entry instance in a zone.
@@ -106,10 +108,8 @@
 	for _, wk := range tb.workers {
 		tb.attach(wk)
 	}
-	now := tb.clk.Now()
-	for _, sq := range tb.queues {
-		tb.pump(now, sq)
-	}
+	tb.findSpares()
+	tb.pumpAll(tb.clk.Now())
 }
 
 // attach puts a worker into the group of the service that the view gives it.
@@ -134,7 +134,7 @@
 func (tb *Table) queue(service weir.ServiceName) *serviceQueue {
 	sq, ok := tb.queues[service]
 	if !ok {
-		sq = newServiceQueue()
+		sq = newServiceQueue(service)
 		tb.queues[service] = sq
 	}
 	return sq
@@ -169,6 +169,9 @@
 		return nil, &Error{Op: "place", Kind: KindNoSlot}
 	}
 	wk := tb.choose(now, sq, req.Repeatable)
+	if wk == nil {
+		wk = tb.borrow(now, req.Service, req.Repeatable)
+	}
 	if wk == nil {
 		return nil, &Error{Op: "place", Kind: KindNoSlot}
 	}
@@ -247,13 +250,15 @@
 	return nil, &Error{Op: "place", Kind: kind}
 }
 
-// choose returns the worker with the most free slots.
+// choose returns the worker with the most free slots; ties go to the first by
+// name, so that a run can be repeated.
 func (tb *Table) choose(now time.Time, sq *serviceQueue, repeatable bool) *worker {
 	var best *worker
 	bestFree := 0
 	for _, wk := range sq.workers {
 		free := wk.free(now, tb.slots())
-		if free > bestFree && wk.takes(now, repeatable) {
+		better := free > bestFree || (free == bestFree && best != nil && wk.id < best.id)
+		if better && wk.takes(now, repeatable) {
 			best, bestFree = wk, free
 		}
 	}
@@ -294,7 +299,7 @@
 	if wk.up(now) != wasUp {
 		tb.dirty[wk.id] = true
 	}
-	tb.pump(now, tb.queue(wk.service))
+	tb.pumpFor(now, wk)
 }
 
 // mayEject bounds the ejected workers to half of a service's, so that a wave
@@ -327,8 +332,15 @@
 // nextPair picks the next waiter and its worker: urgent work first, but
 // deferrable work is not held below its share.
 func (tb *Table) nextPair(now time.Time, sq *serviceQueue) (*waiter, *worker) {
+	service := sq.service
 	plain := tb.choose(now, sq, false)
+	if plain == nil {
+		plain = tb.borrow(now, service, false)
+	}
 	probe := tb.choose(now, sq, true)
+	if probe == nil {
+		probe = plain
+	}
 	if plain == nil && probe == nil {
 		return nil, nil
 	}
@@ -339,7 +351,7 @@
 		return plain != nil && !tb.overQuota(sq, wt)
 	}
 	first, second := sq.urgent, sq.deferrable
-	svc, _ := tb.view.Config.ServiceAt(tb.zone, wtService(sq))
+	svc, _ := tb.view.Config.ServiceAt(tb.zone, service)
 	if sq.deferrable.count > 0 && 100*sq.deferrableBusy < svc.DeferrableShare*sq.busy {
 		first, second = second, first
 	}
@@ -356,14 +368,6 @@
 	return nil, nil
 }
 
-// wtService returns the service that a queue's workers serve.
-func wtService(sq *serviceQueue) weir.ServiceName {
-	if len(sq.workers) == 0 {
-		return ""
-	}
-	return sq.workers[0].service
-}
-
 // overQuota reports whether a team holds its quota while other teams wait.
 func (tb *Table) overQuota(sq *serviceQueue, wt *waiter) bool {
 	team, ok := tb.view.Config.Teams[wt.req.Team]
