fix: two leaders that both lost a key's claim no longer wait for each other

Requests under some keys took their whole deadline at each try: both entry instances had lost the claim of a key (one replica each), each took the other for the holder and waited for its flight, without end, and later requests waited for theirs. Change: only an attempt that has claimed its key can be waited for, and the wait is bounded by the deadline.

--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengageweir/internal/contract/peerapi"
@@ -55,8 +56,10 @@
 // flight is a keyed request that this instance leads at present.
 type flight struct {
 	attempt string
-	done    chan struct{}
-	answer  weir.Answer
+	// won is set once the attempt has claimed the key.
+	won    atomic.Bool
+	done   chan struct{}
+	answer weir.Answer
 }
 
 // CallParams carries a request to another entry instance.
@@ -169,7 +172,7 @@
 		// for a caller that went away or whose deadline has passed.
 		detached := context.WithoutCancel(ctx)
 		go func() {
-			fl.answer = dp.runClaimed(detached, req, attempt)
+			fl.answer = dp.runClaimed(detached, req, fl)
 			dp.land(req.Key, fl)
 		}()
 	}
@@ -225,30 +228,35 @@
 	}
 }
 
-// Join returns the outcome of an attempt that is in flight here.
+// Join returns the outcome of an attempt that is in flight here. Only one that
+// has claimed the key can be waited for: two leaders that both lost the claim
+// would else wait for each other.
 func (dp *Dispatcher) Join(ctx context.Context, jo peerapi.Join) weir.Answer {
 	dp.mu.Lock()
 	fl, ok := dp.flights[jo.Key]
 	dp.mu.Unlock()
-	if !ok || fl.attempt != jo.Attempt {
+	if !ok || fl.attempt != jo.Attempt || !fl.won.Load() {
 		return weir.AnswerUnknown("the attempt is not in flight")
 	}
 	return fl.wait(ctx)
 }
 
-func (dp *Dispatcher) runClaimed(ctx context.Context, req weir.Request, attempt string) weir.Answer {
+func (dp *Dispatcher) runClaimed(ctx context.Context, req weir.Request, fl *flight) weir.Answer {
 	key, err := ledger.ParseKey(req.Key)
 	if err != nil {
 		return weir.AnswerNotRun(err.Error())
 	}
-	claim := dp.group(key.Home(dp.zones())).Claim(ctx, req.Key, attempt)
+	claim := dp.group(key.Home(dp.zones())).Claim(ctx, req.Key, fl.attempt)
 	if claim.Won {
+		fl.won.Store(true)
 		ans := dp.place(ctx, req)
 		claim.Finish(ctx, ans)
 		return ans
 	}
 	holder, _, _ := strings.Cut(claim.Holder, "/")
 	if claim.Answer.Kind == weir.Unknown && holder != "" && holder != dp.Self {
+		ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(dp.Clock.Now())+patience(req))
+		defer cancel()
 		return dp.askHolder(ctx, holder, peerapi.Join{Key: req.Key, Attempt: claim.Holder}, *claim.Answer)
 	}
 	return *claim.Answer
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -30,9 +30,10 @@
 type lonelyMesh struct {
 	stores map[string]*ledger.Store
 	down   atomic.Bool
+	join   func(ctx context.Context, jo peerapi.Join) weir.Answer
 }
 
-func (lm *lonelyMesh) Call(_ context.Context, id, method string, params, result any) error {
+func (lm *lonelyMesh) Call(ctx context.Context, id, method string, params, result any) error {
 	if lm.down.Load() {
 		return &peer.Error{Op: method, Kind: peer.KindNotSent}
 	}
@@ -41,6 +42,8 @@
 		*result.(*peerapi.ReserveAnswer) = lm.stores[id].Reserve(clock.System{}.Now(), par)
 	case peerapi.Finish:
 		lm.stores[id].Finish(par)
+	case peerapi.Join:
+		*result.(*weir.Answer) = lm.join(ctx, par)
 	default:
 		return errors.New(method)
 	}
@@ -261,6 +264,30 @@
 	require.Equal(t, weir.Whole, rg.lead(rg.request(t, true, false)).Kind, "reads go on")
 }
 
+// TestTwoLeadersDoNotWaitForEachOther covers two entry instances that both
+// lost the claim of a key and each take the other for its holder.
+func TestTwoLeadersDoNotWaitForEachOther(t *testing.T) {
+	rg := newRig(t)
+	req := rg.request(t, false, true)
+	for _, id := range []string{"a1", "a2"} {
+		rg.mesh.stores[id].Reserve(rg.Clock.Now(), peerapi.Reserve{Key: req.Key, Attempt: "a2/other"})
+	}
+	rg.mesh.join = func(ctx context.Context, _ peerapi.Join) weir.Answer {
+		rg.mu.Lock()
+		ours := rg.flights[req.Key].attempt
+		rg.mu.Unlock()
+		return rg.Join(ctx, peerapi.Join{Key: req.Key, Attempt: ours})
+	}
+	answered := make(chan weir.Answer, 1)
+	go func() { answered <- rg.lead(req) }()
+	select {
+	case ans := <-answered:
+		require.Equal(t, weir.Unknown, ans.Kind)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "both wait for each other")
+	}
+}
+
 func TestDeadlineTravelsAsRemainingTime(t *testing.T) {
 	there := time.Unix(1_700_000_000, 0) // a clock that is far off
 	req := CallParams{Request: weir.Request{Deadline: time.Unix(1_800_000_000, 0)}, Remaining: time.Second}.Here(there)
