--- a/cmd/weirstandin/slopes.go
+++ b/cmd/weirstandin/slopes.go
@@ -12,17 +12,15 @@
 type slopesCommand struct {
 	Out  string `long:"out" default:"docs/slopes.json" description:"File for the measured slopes"`
 	Page string `long:"page" default:"docs/CAPACITY.md" description:"Page whose table is written"`
+	From string `long:"from" description:"Write the page from an earlier run's file, without measuring"`
 }
 
 // Execute implements flags.Commander.
 func (sc *slopesCommand) Execute([]string) error {
-	rep, err := slopes.Measure(clock.System{}, os.Stderr)
+	rep, err := sc.report()
 	if err != nil {
 		return err
 	}
-	if err := rep.Write(sc.Out); err != nil {
-		return err
-	}
 	table, err := slopes.Table(rep)
 	if err != nil {
 		return err
@@ -30,3 +28,15 @@
 	fmt.Print(table)
 	return slopes.WritePage(sc.Page, table)
 }
+
+// report measures, or reads an earlier run.
+func (sc *slopesCommand) report() (slopes.Report, error) {
+	if sc.From != "" {
+		return slopes.Read(sc.From)
+	}
+	rep, err := slopes.Measure(clock.System{}, os.Stderr)
+	if err != nil {
+		return rep, err
+	}
+	return rep, rep.Write(sc.Out)
+}
