refactor: plainer names

Cause: reading as a newcomer: steward, board, land, insist and enrol are not the field's words. Change: reconciler, startFlight, endFlight, retryUnreachable, askUntilWhole, register; fakes in tests are called fakes.

--- a/cmd/greengageweir/control.go
+++ b/cmd/greengageweir/control.go
@@ -6,9 +6,9 @@
 	"greengageweir/internal/contract/platform"
 	"greengageweir/internal/control/hub"
 	"greengageweir/internal/control/operatorapi"
+	"greengageweir/internal/control/reconcile"
 	"greengageweir/internal/control/registry"
 	"greengageweir/internal/control/serve"
-	"greengageweir/internal/control/steward"
 	"greengageweir/internal/duty/cli"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/ops"
@@ -110,7 +110,7 @@
 		links,
 		nd,
 		&peer.Server{Addr: cc.PeerAddr, Token: kt.token, Handle: sv.Handle, Gone: hb.Gone, Logger: kt.logger},
-		&steward.Steward{
+		&reconcile.Reconciler{
 			Machine: mc, Registry: rg, Platform: &platform.Client{Addrs: cc.platforms}, Clock: clk,
 			Logger: kt.logger, IsLeader: sv.Leads, Propose: sv.Propose,
 		},
--- a/cmd/weirctl/common.go
+++ b/cmd/weirctl/common.go
@@ -41,7 +41,7 @@
 	}
 	defer cancel()
 	var val T
-	if err := insist(ctx, func() error { return cl.Get(ctx, path, &val) }); err != nil {
+	if err := retryUnreachable(ctx, func() error { return cl.Get(ctx, path, &val) }); err != nil {
 		return err
 	}
 	return rm.show(val, func() { print(val) })
@@ -63,7 +63,7 @@
 		return err
 	}
 	defer cancel()
-	return insist(ctx, func() error {
+	return retryUnreachable(ctx, func() error {
 		ans, err := cl.Command(ctx, path, body)
 		if err != nil {
 			return err
@@ -78,10 +78,10 @@
 	})
 }
 
-const insistPause = 200 * time.Millisecond
+const retryPause = 200 * time.Millisecond
 
-// insist repeats a call while no control process answers.
-func insist(ctx context.Context, call func() error) error {
+// retryUnreachable repeats a call while no control process answers.
+func retryUnreachable(ctx context.Context, call func() error) error {
 	for {
 		err := call()
 		if err == nil || !operator.IsUnreachable(err) {
@@ -90,7 +90,7 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(insistPause):
+		case <-time.After(retryPause):
 		}
 	}
 }
--- a/cmd/weirctl/config.go
+++ b/cmd/weirctl/config.go
@@ -100,7 +100,7 @@
 	}
 	defer cancel()
 	var now operator.ConfigAnswer
-	if err := insist(ctx, func() error { return cl.Get(ctx, "/v1/config", &now) }); err != nil {
+	if err := retryUnreachable(ctx, func() error { return cl.Get(ctx, "/v1/config", &now) }); err != nil {
 		return err
 	}
 	delta := model.Diff(now.Config, cfg)
--- a/cmd/weirctl/fleet.go
+++ b/cmd/weirctl/fleet.go
@@ -61,7 +61,7 @@
 				}
 			}
 		}
-		time.Sleep(insistPause)
+		time.Sleep(retryPause)
 	}
 	return errors.Errorf("wave %s has not ended after %s", ws.Name, ws.Wait)
 }
--- a/internal/control/steward/steward.go
+++ b/internal/control/reconcile/reconcile.go
@@ -1,12 +1,12 @@
-// Package steward is the leader's duty to carry maintenance on: it proposes
+// Package reconcile is the leader's duty to carry maintenance on: it proposes
 // the next steps of waves and moves, asks the platform for reboots, and marks
 // instances whose entry instance is silent as not available.
 //
 // Usage:
 //
-//	sw := &steward.Steward{Machine: mc, Registry: rg, Platform: pf, Propose: propose, ...}
-//	go sw.Run(ctx)
-package steward
+//	rc := &reconcile.Reconciler{Machine: mc, Registry: rg, Platform: pf, Propose: propose, ...}
+//	go rc.Run(ctx)
+package reconcile
 
 import (
 	"context"
@@ -32,8 +32,8 @@
 	maxReboots = 64
 )
 
-// Steward works while this process leads. Set the exported fields before Run.
-type Steward struct {
+// Reconciler works while this process leads. Set the exported fields before Run.
+type Reconciler struct {
 	Machine  *machine.Machine
 	Registry *registry.Registry
 	Platform weir.Platform
@@ -56,37 +56,37 @@
 }
 
 // String is the step's name in logs.
-func (sw *Steward) String() string { return "steward" }
+func (rc *Reconciler) String() string { return "reconciler" }
 
-// Default prepares the steward's memory.
-func (sw *Steward) Default() error {
-	sw.upSince = map[weir.InstanceID]sighting{}
-	sw.rebooting = map[string]bool{}
+// Default prepares the reconciler's memory.
+func (rc *Reconciler) Default() error {
+	rc.upSince = map[weir.InstanceID]sighting{}
+	rc.rebooting = map[string]bool{}
 	return nil
 }
 
 // Run works until the context ends.
-func (sw *Steward) Run(ctx context.Context) error {
+func (rc *Reconciler) Run(ctx context.Context) error {
 	return run.Every(ctx, tickEvery, func() {
-		leads := sw.IsLeader()
-		if leads && !sw.led {
-			sw.Registry.Reset(sw.Clock.Now())
-			sw.upSince = map[weir.InstanceID]sighting{}
+		leads := rc.IsLeader()
+		if leads && !rc.led {
+			rc.Registry.Reset(rc.Clock.Now())
+			rc.upSince = map[weir.InstanceID]sighting{}
 		}
-		sw.led = leads
+		rc.led = leads
 		if leads {
-			sw.tick(ctx, sw.Clock.Now())
+			rc.tick(ctx, rc.Clock.Now())
 		}
 	})
 }
 
-func (sw *Steward) tick(ctx context.Context, now time.Time) {
+func (rc *Reconciler) tick(ctx context.Context, now time.Time) {
 	var steps []command.Command
 	var drained []view.Member
 	var silent []command.Status
-	sw.Machine.Read(func(rd machine.Reader) {
-		silent = sw.silent(rd, now)
-		steps = wave.Next(rd, sw.evidence(rd, now), now)
+	rc.Machine.Read(func(rd machine.Reader) {
+		silent = rc.silent(rd, now)
+		steps = wave.Next(rd, rc.evidence(rd, now), now)
 		for _, mem := range rd.Members() {
 			if mem.Phase == view.Drained {
 				drained = append(drained, mem)
@@ -94,22 +94,22 @@
 		}
 	})
 	if len(silent) > 0 {
-		sw.propose(ctx, command.Command{At: now, Status: &command.StatusBatch{Items: silent}})
+		rc.propose(ctx, command.Command{At: now, Status: &command.StatusBatch{Items: silent}})
 	}
 	for _, cmd := range steps {
-		sw.propose(ctx, cmd)
+		rc.propose(ctx, cmd)
 	}
 	for _, mem := range drained {
-		sw.reboot(ctx, mem)
+		rc.reboot(ctx, mem)
 	}
 }
 
 // silent returns the instances whose entry instance is not heard: they count
 // as not available until it reports again.
-func (sw *Steward) silent(rd machine.Reader, now time.Time) []command.Status {
+func (rc *Reconciler) silent(rd machine.Reader, now time.Time) []command.Status {
 	var list []command.Status
 	for _, sta := range rd.Statuses() {
-		if sta.Up && !sw.Registry.IsHeard(now, sta.Entry) {
+		if sta.Up && !rc.Registry.IsHeard(now, sta.Entry) {
 			sta.Up = false
 			list = append(list, sta)
 		}
@@ -118,57 +118,57 @@
 }
 
 // evidence notes since when returning instances are up.
-func (sw *Steward) evidence(rd machine.Reader, now time.Time) wave.Evidence {
+func (rc *Reconciler) evidence(rd machine.Reader, now time.Time) wave.Evidence {
 	ev := wave.Evidence{UpSince: map[weir.InstanceID]time.Time{}}
 	for id, mem := range rd.Members() {
 		sta := rd.Statuses()[id]
 		if mem.Phase != view.Returning || !sta.Up {
-			delete(sw.upSince, id)
+			delete(rc.upSince, id)
 			continue
 		}
-		seen, ok := sw.upSince[id]
+		seen, ok := rc.upSince[id]
 		if !ok || seen.incarnation != sta.Incarnation {
 			seen = sighting{incarnation: sta.Incarnation, since: now}
-			sw.upSince[id] = seen
+			rc.upSince[id] = seen
 		}
 		ev.UpSince[id] = seen.since
 	}
 	return ev
 }
 
-func (sw *Steward) propose(ctx context.Context, cmd command.Command) {
+func (rc *Reconciler) propose(ctx context.Context, cmd command.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	ans, err := sw.Propose(ctx, cmd)
+	ans, err := rc.Propose(ctx, cmd)
 	switch {
 	case err != nil:
-		_ = sw.Logger.Log("level", "warn", "msg", "step not proposed", "err", err.Error())
+		_ = rc.Logger.Log("level", "warn", "msg", "step not proposed", "err", err.Error())
 	case ans.Refusal != nil:
-		_ = sw.Logger.Log("level", "debug", "msg", "step refused", "kind", string(ans.Refusal.Kind), "reason", ans.Refusal.Message)
+		_ = rc.Logger.Log("level", "debug", "msg", "step refused", "kind", string(ans.Refusal.Kind), "reason", ans.Refusal.Message)
 	}
 }
 
 // reboot asks the platform, once at a time for each operation. The operation
 // id makes a repeated call harmless, also one by a leader that was replaced.
-func (sw *Steward) reboot(ctx context.Context, mem view.Member) {
-	sw.mu.Lock()
-	defer sw.mu.Unlock()
-	if sw.rebooting[mem.Operation] || len(sw.rebooting) >= maxReboots {
+func (rc *Reconciler) reboot(ctx context.Context, mem view.Member) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.rebooting[mem.Operation] || len(rc.rebooting) >= maxReboots {
 		return
 	}
-	sw.rebooting[mem.Operation] = true
+	rc.rebooting[mem.Operation] = true
 	go func() {
 		defer func() {
-			sw.mu.Lock()
-			defer sw.mu.Unlock()
-			delete(sw.rebooting, mem.Operation)
+			rc.mu.Lock()
+			defer rc.mu.Unlock()
+			delete(rc.rebooting, mem.Operation)
 		}()
-		if err := sw.Platform.Reboot(ctx, mem.Zone, mem.Instance, mem.Operation); err != nil {
-			_ = sw.Logger.Log("level", "warn", "msg", "reboot failed", "instance", string(mem.Instance), "err", err.Error())
+		if err := rc.Platform.Reboot(ctx, mem.Zone, mem.Instance, mem.Operation); err != nil {
+			_ = rc.Logger.Log("level", "warn", "msg", "reboot failed", "instance", string(mem.Instance), "err", err.Error())
 			return
 		}
-		sw.propose(ctx, command.Command{
-			At: sw.Clock.Now(), Reboot: &command.RebootDone{Instance: mem.Instance, Operation: mem.Operation},
+		rc.propose(ctx, command.Command{
+			At: rc.Clock.Now(), Reboot: &command.RebootDone{Instance: mem.Instance, Operation: mem.Operation},
 		})
 	}()
 }
--- a/internal/control/serve/report.go
+++ b/internal/control/serve/report.go
@@ -20,7 +20,7 @@
 	}
 	now := sv.Clock.Now()
 	ans := peerapi.ReportAnswer{WantFull: sv.Registry.Heard(now, rep)}
-	if err := sv.enrol(ctx, rep, now); err != nil {
+	if err := sv.register(ctx, rep, now); err != nil {
 		return ans, err
 	}
 	if items := sv.changed(rep); len(items) > 0 {
@@ -41,8 +41,8 @@
 	return ans, err
 }
 
-// enrol makes an entry instance known on its first report.
-func (sv *Service) enrol(ctx context.Context, rep peerapi.Report, now time.Time) error {
+// register makes an entry instance known on its first report.
+func (sv *Service) register(ctx context.Context, rep peerapi.Report, now time.Time) error {
 	known := false
 	sv.Machine.Read(func(rd machine.Reader) { _, known = rd.Processes()[rep.Entry] })
 	if known {
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -166,14 +166,14 @@
 // second request with the same key waits for the first.
 func (dp *Dispatcher) Lead(ctx context.Context, req weir.Request) weir.Answer {
 	attempt := dp.Self + "/" + uuid.NewString()
-	fl, first := dp.board(req.Key, attempt)
+	fl, first := dp.startFlight(req.Key, attempt)
 	if first {
 		// The flight outlives its caller, so that the outcome is recorded also
 		// for a caller that went away or whose deadline has passed.
 		detached := context.WithoutCancel(ctx)
 		go func() {
 			fl.answer = dp.runClaimed(detached, req, fl)
-			dp.land(req.Key, fl)
+			dp.endFlight(req.Key, fl)
 		}()
 	}
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(dp.Clock.Now())+flightGrace)
@@ -198,7 +198,7 @@
 	return recordGrace
 }
 
-func (dp *Dispatcher) board(key, attempt string) (*flight, bool) {
+func (dp *Dispatcher) startFlight(key, attempt string) (*flight, bool) {
 	dp.mu.Lock()
 	defer dp.mu.Unlock()
 	if fl, ok := dp.flights[key]; ok {
@@ -212,7 +212,7 @@
 	return fl, true
 }
 
-func (dp *Dispatcher) land(key string, fl *flight) {
+func (dp *Dispatcher) endFlight(key string, fl *flight) {
 	dp.mu.Lock()
 	delete(dp.flights, key)
 	dp.mu.Unlock()
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -26,38 +26,38 @@
 	"greengageweir/internal/link/peer"
 )
 
-// lonelyMesh is the mesh of an entry instance whose peers keep ledgers only.
-type lonelyMesh struct {
+// fakeMesh is the mesh of an entry instance whose peers keep ledgers only.
+type fakeMesh struct {
 	stores map[string]*ledger.Store
 	down   atomic.Bool
 	join   func(ctx context.Context, jo peerapi.Join) weir.Answer
 }
 
-func (lm *lonelyMesh) Call(ctx context.Context, id, method string, params, result any) error {
-	if lm.down.Load() {
+func (fm *fakeMesh) Call(ctx context.Context, id, method string, params, result any) error {
+	if fm.down.Load() {
 		return &peer.Error{Op: method, Kind: peer.KindNotSent}
 	}
 	switch par := params.(type) {
 	case peerapi.Reserve:
-		*result.(*peerapi.ReserveAnswer) = lm.stores[id].Reserve(clock.System{}.Now(), par)
+		*result.(*peerapi.ReserveAnswer) = fm.stores[id].Reserve(clock.System{}.Now(), par)
 	case peerapi.Finish:
-		lm.stores[id].Finish(par)
+		fm.stores[id].Finish(par)
 	case peerapi.Join:
-		*result.(*weir.Answer) = lm.join(ctx, par)
+		*result.(*weir.Answer) = fm.join(ctx, par)
 	default:
 		return errors.New(method)
 	}
 	return nil
 }
-func (lm *lonelyMesh) Ready(string) bool                    { return !lm.down.Load() }
-func (lm *lonelyMesh) Pick(weir.ServiceName) (string, bool) { return "", false }
-func (lm *lonelyMesh) Has(weir.ServiceName) bool            { return false }
-func (lm *lonelyMesh) Exhausted(string, weir.ServiceName)   {}
+func (fm *fakeMesh) Ready(string) bool                    { return !fm.down.Load() }
+func (fm *fakeMesh) Pick(weir.ServiceName) (string, bool) { return "", false }
+func (fm *fakeMesh) Has(weir.ServiceName) bool            { return false }
+func (fm *fakeMesh) Exhausted(string, weir.ServiceName)   {}
 
 // rig is a dispatcher with endpoints at the given addresses.
 type rig struct {
 	*Dispatcher
-	mesh *lonelyMesh
+	mesh *fakeMesh
 }
 
 func newRig(t *testing.T, addrs ...string) *rig {
@@ -78,13 +78,13 @@
 		require.True(t, tb.Announce(endpoint.Announcement{Instance: ids[ix], Address: addr, State: endpoint.Serving}).Granted)
 	}
 	old := clk.Now().Add(-time.Minute)
-	lm := &lonelyMesh{stores: map[string]*ledger.Store{}}
+	fm := &fakeMesh{stores: map[string]*ledger.Store{}}
 	for _, id := range []string{"a1", "a2", "a3"} {
-		lm.stores[id] = ledger.NewStore(old, 10*time.Minute, 100)
+		fm.stores[id] = ledger.NewStore(old, 10*time.Minute, 100)
 	}
-	return &rig{mesh: lm, Dispatcher: &Dispatcher{
+	return &rig{mesh: fm, Dispatcher: &Dispatcher{
 		Self: "a1", Zone: "a", Sites: []ledger.Site{{Entry: "a1", Zone: "a"}, {Entry: "a2", Zone: "a"}, {Entry: "a3", Zone: "a"}},
-		Table: tb, Mesh: lm, Store: lm.stores["a1"], Clock: clk,
+		Table: tb, Mesh: fm, Store: fm.stores["a1"], Clock: clk,
 	}}
 }
 
--- a/internal/entry/place/place_test.go
+++ b/internal/entry/place/place_test.go
@@ -363,9 +363,9 @@
 	}
 }
 
-// TestHopelessWaiterGivesWay lets a slot become free when the first waiter
+// TestWaiterThatWouldEndLateIsRefused lets a slot become free when the first waiter
 // could no longer be answered in time.
-func TestHopelessWaiterGivesWay(t *testing.T) {
+func TestWaiterThatWouldEndLateIsRefused(t *testing.T) {
 	tb, clk := testTable(t, 1)
 	slots := make([]*Slot, 2)
 	for ix := range slots {
@@ -374,9 +374,9 @@
 		require.NoError(t, err)
 	}
 	tb.queue("desk").meanSeconds = 2
-	hopeless := request(clk)
-	hopeless.Deadline = clk.Now().Add(3 * time.Second)
-	first := wait(tb, hopeless)
+	late := request(clk)
+	late.Deadline = clk.Now().Add(3 * time.Second)
+	first := wait(tb, late)
 	second := wait(tb, request(clk))
 	clk.Advance(1500 * time.Millisecond)
 	slots[0].Release(Succeeded)
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -141,11 +141,11 @@
 	}
 	if rq.booking && rq.twice {
 		second := make(chan Result, 1)
-		go func() { second <- ld.insist(ctx, rq, res, rq.target+1) }()
-		res = ld.insist(ctx, rq, res, rq.target)
+		go func() { second <- ld.askUntilWhole(ctx, rq, res, rq.target+1) }()
+		res = ld.askUntilWhole(ctx, rq, res, rq.target)
 		res = merge(res, <-second)
 	} else {
-		res = ld.insist(ctx, rq, res, rq.target)
+		res = ld.askUntilWhole(ctx, rq, res, rq.target)
 	}
 	res.Took = ld.Clock.Now().Sub(begin)
 	ld.mu.Lock()
@@ -163,8 +163,8 @@
 	return a
 }
 
-// insist asks until it has a whole answer or has tried often enough.
-func (ld *Load) insist(ctx context.Context, rq planned, res Result, target int) Result {
+// askUntilWhole asks until it has a whole answer or has tried often enough.
+func (ld *Load) askUntilWhole(ctx context.Context, rq planned, res Result, target int) Result {
 	begin := ld.Clock.Now()
 	told := weir.NotRun
 	for res.Tries < ld.MaxTries {
--- a/internal/standin/slopes/measure.go
+++ b/internal/standin/slopes/measure.go
@@ -35,7 +35,7 @@
 	ms := &measurer{clk: clk}
 	steps := []func() Slope{
 		ms.announceCPU, ms.announceBytes, ms.entryHeap, ms.sweepCPU,
-		ms.stateHeap, ms.snapshotBytes, ms.snapshotMillis, ms.stewardMillis, ms.viewBytes,
+		ms.stateHeap, ms.snapshotBytes, ms.snapshotMillis, ms.reconcileMicros, ms.viewBytes,
 		ms.changeMicros, ms.changeBytes, ms.statusMicros, ms.usageMicros,
 		ms.feedMicros, ms.feedMillis, ms.replayMillis, ms.appendMillis,
 		ms.keyBytes, ms.reserveMicros, ms.advertBytes,
--- a/internal/standin/slopes/measure_control.go
+++ b/internal/standin/slopes/measure_control.go
@@ -38,8 +38,8 @@
 	})
 }
 
-func (ms *measurer) stewardMillis() Slope {
-	return series("steward's step", "worker", "us a step", workerSizes, func(size int) float64 {
+func (ms *measurer) reconcileMicros() Slope {
+	return series("reconciler's step", "worker", "us a step", workerSizes, func(size int) float64 {
 		mc := ms.fleetOf(size, nil)
 		const count = 5
 		return cpuMicros(count, func() {
--- a/internal/standin/slopes/page.go
+++ b/internal/standin/slopes/page.go
@@ -58,7 +58,7 @@
 		{"entry", "changes and transitions", fmt.Sprintf("%.2f KB/s", (changes*effectB+transitions*600)/1000), "4 KB/s", "deltas from a control member", "built"},
 		{"entry", "adverts to the other entry instances", fmt.Sprintf("%.0f KB/s at most", get.at("advert of free slots", 50)*advertsPerSecond/1000), "-", "two peers of the zone 10 times a second, 42 others twice, when changed", "built"},
 		{"control leader", "usage reports", fmt.Sprintf("%.1f%% of a core", usagePerSecond*reportUS/1e4), "one core", fmt.Sprintf("reports spaced out to %d a second for the fleet", usagePerSecond), "built"},
-		{"control leader", "steward, 5 steps a second", fmt.Sprintf("%.1f%% of a core", get.at("steward's step", targetWorkers)*5/1e4), "one core", "a pass over all members", "built, O(fleet)"},
+		{"control leader", "reconciler, 5 steps a second", fmt.Sprintf("%.1f%% of a core", get.at("reconciler's step", targetWorkers)*5/1e4), "one core", "a pass over all members", "built, O(fleet)"},
 		{"control leader", "changes of configuration", fmt.Sprintf("%.2f%% of a core", changes*get.at("apply a change of configuration", targetWorkers)/1e4), "one core", "delta; whole check", "built, O(fleet)"},
 		{"control member", "heap: fleet state", fmt.Sprintf("%.0f MB", get.at("control heap, fleet state", targetWorkers)/1e6), "128 MB", "whole state in memory", "built"},
 		{"control member", "snapshot", fmt.Sprintf("%.1f MB", get.at("snapshot size", targetWorkers)/1e6), "48 MB a frame", "JSON, every 8,192 entries", "built"},
