--- a/internal/standin/slopes/page.go
+++ b/internal/standin/slopes/page.go
@@ -9,24 +9,45 @@
 	"github.com/pkg/errors"
 )
 
-// The target size, from the users' letter 1.
+// scale is a size of the whole system.
+type scale struct {
+	workers float64
+	// entries and members are the entry and control instances.
+	entries float64
+	members float64
+	// changes, failures and restarts happen in a day, and every worker is
+	// maintained once in maintenanceDays.
+	changes         float64
+	failures        float64
+	restarts        float64
+	maintenanceDays float64
+}
+
+// The size of today, with the changes of the target, and the target size of
+// the users' letter 1.
+var (
+	today  = scale{workers: 50, entries: 8, members: 3, changes: 17_000, failures: 1, restarts: 11, maintenanceDays: 21}
+	target = scale{workers: 25_000, entries: 45, members: 5, changes: 17_000, failures: 260, restarts: 5_500, maintenanceDays: 21}
+)
+
 const (
-	targetWorkers       = 25_000
-	targetChangesPerDay = 17_000
-	targetFailures      = 260
-	targetRestarts      = 5_500
-	maintenanceDays     = 21
-	secondsPerDay       = 86_400
-
-	controlMembers = 5
-	entryInstances = 45
-	usagePerSecond = 500
-	// advertsPerSecond counts two peers in the zone and the others.
-	advertsPerSecond = 2*10 + (entryInstances-3)*2
-	// keysPerSecond is what one zone's ledger is sized for, keysKept what it
-	// keeps at that rate for ten minutes, held by three replicas.
-	keysPerSecond = 300
-	keysKept      = keysPerSecond * 600
+	secondsPerDay = 86_400
+	// keysKept is what one zone's ledger is sized for: 300 keys a second for
+	// ten minutes.
+	keysKept = 300 * 600
+	// usageLimit bounds the usage reports a second of the whole fleet.
+	usageLimit = 500
+	// usageReportBytes and statusBytes are the sizes of one report and of one
+	// change of an instance in the log; memberBytes that of one in an effect.
+	usageReportBytes = 250
+	statusBytes      = 200
+	memberBytes      = 600
+	// snapshotEntries is how many log entries pass between two snapshots.
+	snapshotEntries = 8192
+	// entriesPerZone and the advert rates are those of package mesh.
+	entriesPerZone = 3
+	nearAdverts    = 10
+	farPeersFast   = 8
 )
 
 const (
@@ -40,37 +61,91 @@
 // Table returns the capacity table that follows from a report.
 func Table(rep Report) (string, error) {
 	get := &getter{rep: rep}
-	perEntry := float64(targetWorkers) / entryInstances
-	announceUS := get.at("announcement CPU, both ends", perEntry)
-	announceB := get.at("announcement bytes, both directions", perEntry)
-	transitions := float64(targetWorkers)/maintenanceDays/secondsPerDay*4 + float64(targetFailures+targetRestarts)*2/secondsPerDay
-	changes := float64(targetChangesPerDay) / secondsPerDay
-	effectB := get.at("effect of a change, to each listener", targetWorkers)
-	reportUS := get.at("apply usage reports", 1000) / 1000
-	lines := []line{
-		{"worker", "announcement, both ends", fmt.Sprintf("%.3f%% of a core", announceUS/1e4), "2.2% of a core", "one announcement a second under a 3 s lease", "built"},
-		{"worker", "announcement, both directions", fmt.Sprintf("%.2f KB/s", announceB/1000), "4 KB/s", "the same", "built"},
-		{"entry", fmt.Sprintf("announcements of %.0f workers, both ends", perEntry), fmt.Sprintf("%.1f%% of a core", perEntry*announceUS/1e4), "one core", "workers spread over the entry instances of their zone", "built"},
-		{"entry", "bytes of announcements", fmt.Sprintf("%.0f KB/s", perEntry*announceB/1000), "-", "the same", "built"},
-		{"entry", "heap: whole view, its workers", fmt.Sprintf("%.0f MB", get.at("entry heap, view and announced workers", targetWorkers)/1e6), "128 MB", "view of the whole fleet at each entry instance", "built, to be cut to the zone"},
-		{"entry", fmt.Sprintf("heap: ledger, %d keys", keysKept), fmt.Sprintf("%.0f MB", get.at("ledger heap", keysKept)/1e6), "128 MB", "three replicas a zone, ten minutes", "built"},
-		{"entry", "sweep of leases, 10 a second", fmt.Sprintf("%.2f%% of a core", get.at("entry sweep of leases", perEntry)*10/1e4), "one core", "one pass over its own workers", "built"},
-		{"entry", "changes and transitions", fmt.Sprintf("%.2f KB/s", (changes*effectB+transitions*600)/1000), "4 KB/s", "deltas from a control member", "built"},
-		{"entry", "adverts to the other entry instances", fmt.Sprintf("%.0f KB/s at most", get.at("advert of free slots", 50)*advertsPerSecond/1000), "-", "two peers of the zone 10 times a second, 42 others twice, when changed", "built"},
-		{"control leader", "usage reports", fmt.Sprintf("%.1f%% of a core", usagePerSecond*reportUS/1e4), "one core", fmt.Sprintf("reports spaced out to %d a second for the fleet", usagePerSecond), "built"},
-		{"control leader", "reconciler, 5 steps a second", fmt.Sprintf("%.1f%% of a core", get.at("reconciler's step", targetWorkers)*5/1e4), "one core", "a pass over all members", "built, O(fleet)"},
-		{"control leader", "changes of configuration", fmt.Sprintf("%.2f%% of a core", changes*get.at("apply a change of configuration", targetWorkers)/1e4), "one core", "delta; whole check", "built, O(fleet)"},
-		{"control member", "heap: fleet state", fmt.Sprintf("%.0f MB", get.at("control heap, fleet state", targetWorkers)/1e6), "128 MB", "whole state in memory", "built"},
-		{"control member", "snapshot", fmt.Sprintf("%.1f MB", get.at("snapshot size", targetWorkers)/1e6), "48 MB a frame", "JSON, every 8,192 entries", "built"},
-		{"control member", "log stands still for a snapshot", fmt.Sprintf("%.0f ms", get.at("snapshot encoding, log stands still", targetWorkers)), "500 ms election", "encoded in the log's goroutine", "built, to be moved off it"},
-		{"control member", "recovery, 8,192 entries", fmt.Sprintf("%.0f ms", get.at("recovery of the log", 8192)), "-", "replay behind the snapshot", "built"},
-		{"control member", "roll-out to 9 listeners, both ends", fmt.Sprintf("%.2f ms", get.at("roll-out from one member to all its listeners", entryInstances/controlMembers)), "16 s everywhere", "each member feeds its share of the entry instances", "built"},
-		{"control member", "view snapshot to one listener", fmt.Sprintf("%.1f MB", get.at("view snapshot size", targetWorkers)/1e6), "48 MB a frame", "only for who is far behind", "built"},
-	}
+	now := append(workerLines(get, today), append(entryLines(get, today), controlLines(get, today)...)...)
+	then := append(workerLines(get, target), append(entryLines(get, target), controlLines(get, target)...)...)
 	if get.err != nil {
 		return "", get.err
 	}
-	return render(rep, lines), nil
+	return render(rep, now, then), nil
+}
+
+// perEntry returns the workers that one entry instance holds.
+func (sc scale) perEntry() float64 { return sc.workers / sc.entries }
+
+// transitions returns the changes of instances a second: four a maintenance,
+// two a failure or restart.
+func (sc scale) transitions() float64 {
+	return (sc.workers/sc.maintenanceDays*4 + (sc.failures+sc.restarts)*2) / secondsPerDay
+}
+
+func (sc scale) usageReports() float64 { return min(sc.workers, usageLimit) }
+
+// logBytes returns the bytes a second that the log takes in.
+func (sc scale) logBytes(effect float64) float64 {
+	return sc.usageReports()*usageReportBytes + sc.transitions()*statusBytes + sc.changes/secondsPerDay*effect
+}
+
+// logEntries returns the entries a second: a usage batch of each entry
+// instance, changes, and a few for each transition.
+func (sc scale) logEntries() float64 {
+	return sc.entries + sc.changes/secondsPerDay + 2*sc.transitions()
+}
+
+// adverts returns how many adverts one entry instance sends in a second.
+func (sc scale) adverts() float64 {
+	near := min(sc.entries, entriesPerZone) - 1
+	far := sc.entries - near - 1
+	slower := max(1, float64(int(far/farPeersFast)))
+	return nearAdverts * (near + far/slower)
+}
+
+func workerLines(get *getter, sc scale) []line {
+	micros := get.at("announcement CPU, both ends", sc.perEntry())
+	bytes := get.at("announcement bytes, both directions", sc.perEntry())
+	return []line{
+		{"worker", "announcement, CPU of both ends", fmt.Sprintf("%.3f%% of a core", micros/1e4), "2.2% of a core", "one announcement a second under a 3 s lease", "built"},
+		{"worker", "announcement, both directions", fmt.Sprintf("%.2f KB/s", bytes/1000), "4 KB/s", "the same", "built"},
+	}
+}
+
+func entryLines(get *getter, sc scale) []line {
+	micros := get.at("announcement CPU, both ends", sc.perEntry())
+	bytes := get.at("announcement bytes, both directions", sc.perEntry())
+	effect := get.at("effect of a change, to each listener", sc.workers)
+	in := sc.changes/secondsPerDay*effect + sc.transitions()*memberBytes
+	return []line{
+		{"entry", "announcements of its workers, CPU of both ends", fmt.Sprintf("%.1f%% of a core", sc.perEntry()*micros/1e4), "one core", "workers spread over the entry instances of their zone", "built"},
+		{"entry", "announcements, messages and bytes", fmt.Sprintf("%.0f a second, %.0f KB/s", sc.perEntry(), sc.perEntry()*bytes/1000), "-", "the same", "built"},
+		{"entry", "heap: view of the fleet, its workers", fmt.Sprintf("%.1f MB", get.at("entry heap, view and announced workers", sc.workers)/1e6), "128 MB", "view of the whole fleet at each entry instance", "built, to be cut to the zone"},
+		{"entry", fmt.Sprintf("heap: ledger, %d keys", keysKept), fmt.Sprintf("%.0f MB", get.at("ledger heap", keysKept)/1e6), "128 MB", "three replicas a zone, ten minutes", "built"},
+		{"entry", "sweep of leases, 10 a second", fmt.Sprintf("%.2f%% of a core", max(0, get.at("entry sweep of leases", sc.perEntry()))*10/1e4), "one core", "one pass over its own workers", "built"},
+		{"entry", "changes and transitions in", fmt.Sprintf("%.3f KB/s", in/1000), "4 KB/s", "deltas from a control member", "built"},
+		{"entry", "adverts out, at most", fmt.Sprintf("%.0f a second, %.0f KB/s", sc.adverts(), get.at("advert of free slots", 50)*sc.adverts()/1000), "-", "peers of the zone 10 times a second, others less often the more there are", "built"},
+		{"entry", "disk and syncs", "none", "-", "memory and two other replicas", "built"},
+	}
+}
+
+func controlLines(get *getter, sc scale) []line {
+	effect := get.at("effect of a change, to each listener", sc.workers)
+	report := get.at("apply usage reports", 1000) / 1000
+	listeners := sc.entries / sc.members
+	snapshot := get.at("snapshot size", sc.workers)
+	perDay := sc.logEntries() * secondsPerDay
+	disk := sc.logBytes(effect)*secondsPerDay + perDay/snapshotEntries*snapshot
+	return []line{
+		{"control leader", "usage reports", fmt.Sprintf("%.0f a second, %.2f%% of a core", sc.usageReports(), sc.usageReports()*report/1e4), "one core", "spaced out to 500 a second for the fleet", "built"},
+		{"control leader", "reconciler, 5 steps a second", fmt.Sprintf("%.2f%% of a core", max(0, get.at("reconciler's step", sc.workers))*5/1e4), "one core", "a pass over all members", "built, O(fleet)"},
+		{"control leader", "changes of configuration", fmt.Sprintf("%.3f%% of a core", max(0, sc.changes/secondsPerDay*get.at("apply a change of configuration", sc.workers)/1e4)), "one core", "delta; whole check", "built, O(fleet)"},
+		{"control leader", "log out to the other members", fmt.Sprintf("%.0f KB/s", sc.logBytes(effect)*(sc.members-1)/1000), "-", "appends; sizes of reports assumed", "built"},
+		{"control member", "heap: fleet state", fmt.Sprintf("%.1f MB", get.at("control heap, fleet state", sc.workers)/1e6), "128 MB", "whole state in memory", "built"},
+		{"control member", "log entries, syncs at most", fmt.Sprintf("%.0f a second", sc.logEntries()), "-", "one sync for all that waits", "built"},
+		{"control member", "written to disk", fmt.Sprintf("%.1f GB a day", disk/1e9), "-", "log and a snapshot every 8,192 entries", "built"},
+		{"control member", "snapshot", fmt.Sprintf("%.2f MB", snapshot/1e6), "48 MB a frame", "JSON", "built"},
+		{"control member", "log stands still for a snapshot", fmt.Sprintf("%.0f ms", max(0, get.at("snapshot encoding, log stands still", sc.workers))), "500 ms election", "encoded in the log's goroutine", "built, to be moved off it"},
+		{"control member", "recovery, 8,192 entries", fmt.Sprintf("%.0f ms", get.at("recovery of the log", snapshotEntries)), "-", "replay behind the snapshot", "built"},
+		{"control member", "roll-out to its listeners, both ends", fmt.Sprintf("%.0f listeners, %.2f ms", listeners, get.at("roll-out from one member to all its listeners", listeners)), "16 s everywhere", "each member feeds its share of the entry instances", "built"},
+		{"control member", "view snapshot to one listener", fmt.Sprintf("%.2f MB", get.at("view snapshot size", sc.workers)/1e6), "48 MB a frame", "only for who is far behind", "built"},
+	}
 }
 
 // getter reads slopes and keeps the first error.
@@ -87,12 +162,12 @@
 	return sl.At(size)
 }
 
-func render(rep Report, lines []line) string {
+func render(rep Report, now, then []line) string {
 	var sb strings.Builder
-	sb.WriteString("At the target size, worked out from the slopes below:\n\n")
-	sb.WriteString("| role | what | at the target size | budget | mechanism | state |\n|---|---|---|---|---|---|\n")
-	for _, ln := range lines {
-		fmt.Fprintf(&sb, "| %s | %s | %s | %s | %s | %s |\n", ln.role, ln.what, ln.value, ln.budget, ln.mechanism, ln.state)
+	sb.WriteString("Worked out from the slopes below:\n\n")
+	sb.WriteString("| role | what | today: 50 workers | 25,000 workers | budget | mechanism | state |\n|---|---|---|---|---|---|---|\n")
+	for ix, ln := range then {
+		fmt.Fprintf(&sb, "| %s | %s | %s | %s | %s | %s | %s |\n", ln.role, ln.what, now[ix].value, ln.value, ln.budget, ln.mechanism, ln.state)
 	}
 	fmt.Fprintf(&sb, "\nSlopes, median of %d rounds, lowest and highest round at the largest size, on %s:\n\n", rounds, rep.Machine)
 	sb.WriteString("| slope | unit | base | per | slope | largest size | median (low to high) | residual |\n|---|---|---|---|---|---|---|---|\n")
