fix: a recovering ledger replica no longer forgets who won a key

A replica that recovered copied the record of an attempt that had lost its claim before that of the winner, kept the first, and freed it when the loser said 'not run'; the key could then be won again by the two replicas without it. The order of the test's background messages decides, so it showed in one of about forty runs. Ruled out: the floor (keys below it were refused throughout). Change: copied records are not freed by 'not run'; an outcome that ran is recorded whichever attempt a replica holds, since only the winner has one.

--- a/internal/entry/ledger/ledger_test.go
+++ b/internal/entry/ledger/ledger_test.go
@@ -254,3 +254,25 @@
 	}
 	t.Logf("claims without a majority: %d", refusedKeys)
 }
+
+// TestRecoveryDoesNotLoseTheWinner covers a replica that copies the record of
+// an attempt that lost its claim before that of the one that won, and is then
+// told that the former did not run.
+func TestRecoveryDoesNotLoseTheWinner(t *testing.T) {
+	ids := []string{"a1", "a2", "b1"}
+	clk := clock.NewManual(origin)
+	fm := newFakeMesh(clk, ids...)
+	clk.Advance(time.Minute)
+	key, err := NewKey("a", clk.Now())
+	require.NoError(t, err)
+	fm.stores["a1"].Reserve(clk.Now(), peerapi.Reserve{Key: key, Attempt: "lost"})
+	fm.stores["a2"].Reserve(clk.Now(), peerapi.Reserve{Key: key, Attempt: "won"})
+	fm.stores["b1"].Reserve(clk.Now(), peerapi.Reserve{Key: key, Attempt: "won"})
+	fm.restart("a2")
+	fm.recover(t, "a2", ids...)
+	for _, id := range ids {
+		fm.stores[id].Finish(peerapi.Finish{Key: key, Attempt: "lost", Answer: weir.AnswerNotRun("not claimed")})
+	}
+	claim := fm.group("a1", ids...).Claim(context.Background(), key, "again")
+	require.False(t, claim.Won, "the key was won before")
+}
--- a/internal/entry/ledger/store.go
+++ b/internal/entry/ledger/store.go
@@ -54,6 +54,10 @@
 type record struct {
 	attempt string
 	answer  *weir.Answer
+	// copied records came from another replica. Which attempt they name says
+	// little, since replicas may hold the key for different ones, so that no
+	// attempt's "not run" frees them.
+	copied bool
 }
 
 // Store is one replica's memory. It is safe for concurrent use.
@@ -136,19 +140,23 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	rec, ok := st.records[fin.Key]
-	if !ok || rec.attempt != fin.Attempt || rec.answer != nil {
+	if !ok || rec.answer != nil {
 		return
 	}
 	if fin.Answer.Kind == weir.NotRun {
-		delete(st.records, fin.Key)
+		if rec.attempt == fin.Attempt && !rec.copied {
+			delete(st.records, fin.Key)
+		}
 		return
 	}
+	// Only the attempt that won the key has another outcome, so it holds
+	// whichever attempt is named here.
 	ans := fin.Answer
 	if len(ans.Body) > maxKeptBody {
 		ans.Body = nil
 		ans.Reason = "the recorded answer is without its body, which was too long to keep"
 	}
-	st.records[fin.Key] = record{attempt: rec.attempt, answer: &ans}
+	st.records[fin.Key] = record{attempt: fin.Attempt, answer: &ans, copied: rec.copied}
 }
 
 // sweep forgets the keys whose minute is past retention.
@@ -195,7 +203,7 @@
 		if ok && (old.answer != nil || rec.Answer == nil) {
 			continue
 		}
-		st.put(key, record{attempt: rec.Attempt, answer: rec.Answer})
+		st.put(key, record{attempt: rec.Attempt, answer: rec.Answer, copied: true})
 	}
 }
 
