refactor: one set-up for both announcement slopes; an unused count is gone

Cause: reading the whole change: two slopes started the same server in the same lines, and the stand-in worker kept a peak that nothing read. Change: serveAnnouncements and announce serve both; Peak and its field are removed. Behaviour is as before.

--- a/internal/standin/slopes/measure_entry.go
+++ b/internal/standin/slopes/measure_entry.go
@@ -16,21 +16,32 @@
 	"greengageweir/internal/standin/worker"
 )
 
+// serveAnnouncements starts the endpoints' server of an entry instance with a
+// fleet of a size, and a client of it.
+func (ms *measurer) serveAnnouncements(size int) (client *worker.Announcer, stop context.CancelFunc) {
+	an := &serve.Announcements{Addr: "127.0.0.1:0", Table: ms.tableOf(size)}
+	ms.check(an.Default())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = an.Run(ctx) }()
+	return worker.NewAnnouncer(an.Address()), cancel
+}
+
+// announce sends announcements of as many workers as there are, in turn.
+func (ms *measurer) announce(client *worker.Announcer, workers, count int) {
+	for ix := range count {
+		_, err := client.Announce(context.Background(), announcementOf(ix%workers))
+		ms.check(err)
+	}
+}
+
 // announceCPU sends announcements over HTTP; both ends are counted.
 func (ms *measurer) announceCPU() Slope {
 	return series("announcement CPU, both ends", "announced worker", "us each", workerSizes, func(size int) float64 {
-		an := &serve.Announcements{Addr: "127.0.0.1:0", Table: ms.tableOf(size)}
-		ms.check(an.Default())
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go func() { _ = an.Run(ctx) }()
-		client := worker.NewAnnouncer(an.Address())
+		client, stop := ms.serveAnnouncements(size)
+		defer stop()
 		count := max(size, 2000)
 		return cpuMicros(count, func() {
-			for ix := range count {
-				_, err := client.Announce(ctx, announcementOf(ix%size))
-				ms.check(err)
-			}
+			ms.announce(client, size, count)
 		})
 	})
 }
@@ -38,17 +49,10 @@
 // announceBytes counts both directions of one announcement on the wire.
 func (ms *measurer) announceBytes() Slope {
 	return series("announcement bytes, both directions", "announced worker", "bytes each", []int{50, 5000}, func(size int) float64 {
-		an := &serve.Announcements{Addr: "127.0.0.1:0", Table: ms.tableOf(size)}
-		ms.check(an.Default())
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go func() { _ = an.Run(ctx) }()
-		client := worker.NewAnnouncer(an.Address())
+		client, stop := ms.serveAnnouncements(size)
+		defer stop()
 		const count = 200
-		for ix := range count {
-			_, err := client.Announce(ctx, announcementOf(ix%size))
-			ms.check(err)
-		}
+		ms.announce(client, size, count)
 		return float64(client.Bytes()) / count
 	})
 }
--- a/internal/standin/worker/serve.go
+++ b/internal/standin/worker/serve.go
@@ -86,7 +86,6 @@
 		return endpoint.RefusedSlots
 	}
 	wk.inFlight++
-	wk.peak = max(wk.peak, wk.inFlight)
 	return ""
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -67,7 +67,6 @@
 	down     bool
 	failing  bool
 	inFlight int
-	peak     int
 	totals   map[usageKey]*command.UsageTotal
 	sequence uint64
 	// nextReport is when the next usage report may be made.
@@ -196,10 +195,3 @@
 	defer wk.mu.Unlock()
 	wk.failing = failing
 }
-
-// Peak returns the most requests that ran at one time.
-func (wk *Worker) Peak() int {
-	wk.mu.Lock()
-	defer wk.mu.Unlock()
-	return wk.peak
-}
