fix: the estimate of a wait counts borrowed slots

Cause: reading the whole change: a queue's estimate divided by the service's own slots only. With a small pool of its own and a large spare pool, the layout that design/09-peaks.md recommends, requests would be refused as late though the borrowed slots would have served them. Change: the estimate uses the slots that the service holds, where they are more than its own. Figures: TestBorrowedSlotsCountForTheEstimate fails before (refused at once with 10 waiters, 20 slots of 1 s and a deadline of 3 s) and passes after.

--- a/internal/entry/place/place_test.go
+++ b/internal/entry/place/place_test.go
@@ -383,3 +383,46 @@
 	require.True(t, fault.Is(<-first, KindDeadline), "refused while the caller still waits")
 	require.NoError(t, <-second)
 }
+
+// TestBorrowedSlotsCountForTheEstimate covers a service that holds far more
+// slots of a spare pool than of its own: what waits goes on at the pace of all
+// of them.
+func TestBorrowedSlotsCountForTheEstimate(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_800_000_000, 0))
+	tb := New(clk, "north")
+	vw := testView(1, 10)
+	vw.Config.Services["lab"] = model.Service{Name: "lab", QueueLength: 100}
+	vw.Config.Pools["desk"] = model.Pool{Name: "desk", Service: "desk", Spare: true}
+	vw.Config.Pools["lab"] = model.Pool{Name: "lab", Service: "lab"}
+	vw.Members["lab-1"] = view.Member{Instance: "lab-1", Pool: "lab", Phase: view.Serving}
+	tb.SetView(vw)
+	for id := range vw.Members {
+		require.True(t, tb.Announce(announcement(id, 1)).Granted)
+	}
+	lab := request(clk)
+	lab.Service = "lab"
+	var slots []*Slot
+	for {
+		slot, err := tb.TryAcquire(lab)
+		if err != nil {
+			break
+		}
+		slots = append(slots, slot)
+	}
+	require.Len(t, slots, 2+18)
+	tb.queue("lab").meanSeconds = 1
+	var done []<-chan error
+	for range 10 {
+		done = append(done, wait(tb, lab))
+	}
+	hurried := *lab
+	hurried.Deadline = clk.Now().Add(3 * time.Second)
+	last := wait(tb, &hurried)
+	require.Empty(t, last, "ten waiters at twenty slots of a second each are no reason to refuse")
+	for _, slot := range slots {
+		slot.Release(Succeeded)
+	}
+	for _, ch := range append(done, last) {
+		require.NoError(t, <-ch)
+	}
+}
--- a/internal/entry/place/queue.go
+++ b/internal/entry/place/queue.go
@@ -136,8 +136,10 @@
 }
 
 // expectedEnd estimates how long it takes until a new waiter of the class has
-// its answer.
+// its answer. Slots are those of the service's own workers; where it holds
+// more, with borrowed ones, the queue goes on at the pace of all of them.
 func (sq *serviceQueue) expectedEnd(class weir.Class, slots int) time.Duration {
+	slots = max(slots, sq.busy)
 	if slots == 0 {
 		return 0
 	}
