feat: the replicated log changes its members one at a time

Cause: machines of the core are replaced at other addresses with empty disks, and the set of voters was fixed by flags. Ruled out: joint consensus (one change at a time suffices here); a set that is in force on commit only, since after a loss of power of all the commit index is unknown and a removed majority could elect itself.

--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -85,6 +85,7 @@
 	hard      replica.Hard
 	inbox     chan replica.Message
 	proposals chan proposal
+	asks      chan func(now time.Time, core *replica.Core)
 	waiters   map[uint64]waiter
 	lastSnap  uint64
 	once      sync.Once
@@ -136,6 +137,7 @@
 	nd.once.Do(func() {
 		nd.inbox = make(chan replica.Message, inboxSlots)
 		nd.proposals = make(chan proposal, proposalSlots)
+		nd.asks = make(chan func(now time.Time, core *replica.Core))
 		nd.waiters = make(map[uint64]waiter)
 	})
 }
@@ -164,6 +166,9 @@
 		case prop := <-nd.proposals:
 			nd.core.Tick(nd.Clock.Now())
 			nd.propose(prop)
+		case ask := <-nd.asks:
+			nd.core.Tick(nd.Clock.Now())
+			ask(nd.Clock.Now(), nd.core)
 		}
 		nd.drain()
 		if err := nd.settle(); err != nil {
@@ -295,7 +300,7 @@
 	if err != nil {
 		return &Error{Op: "snapshot", Kind: KindStorage, Err: err}
 	}
-	snap := replica.Snapshot{Index: applied, Term: nd.core.TermAt(applied), Data: data}
+	snap := replica.Snapshot{Index: applied, Term: nd.core.TermAt(applied), Data: data, Members: nd.core.MembersAt(applied)}
 	nd.core.Compact(snap)
 	if err := nd.disk.SaveSnapshot(nd.hard, snap, nd.core.Tail()); err != nil {
 		return err
@@ -372,3 +377,20 @@
 		return nil, &Error{Op: "propose", Kind: KindUnknown, Err: ctx.Err()}
 	}
 }
+
+// Ask runs a short function on the replica between two of its steps.
+func (nd *Node) Ask(ctx context.Context, ask func(now time.Time, core *replica.Core)) error {
+	nd.init()
+	done := make(chan struct{})
+	run := func(now time.Time, core *replica.Core) {
+		ask(now, core)
+		close(done)
+	}
+	select {
+	case nd.asks <- run:
+		<-done
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "ask", Kind: KindBusy, Err: ctx.Err()}
+	}
+}
--- a/internal/state/replica/append.go
+++ b/internal/state/replica/append.go
@@ -13,7 +13,7 @@
 
 // broadcastNew sends entries that members have not been sent yet.
 func (co *Core) broadcastNew() {
-	for _, id := range co.others() {
+	for _, id := range co.followers() {
 		pr := co.progress[id]
 		if pr.next <= co.log.last() && pr.next > co.log.snapIndex && pr.match+1 >= pr.next-min(pr.next-1, maxBatchEntries) {
 			co.sendAppend(time.Time{}, id, false)
@@ -77,6 +77,7 @@
 		co.commit = snap.Index
 	default:
 		co.log = memLog{snapIndex: snap.Index, snapTerm: snap.Term, snap: snap}
+		co.restoreMembers()
 		co.stable = snap.Index
 		co.commit = snap.Index
 		co.applied = snap.Index
@@ -113,15 +114,16 @@
 		}
 		invariant.Check(ent.Index > co.commit, "committedEntryNeverReplaced", "index", ent.Index, "commit", co.commit)
 		co.log.truncate(ent.Index - 1)
+		co.truncateMembers(ent.Index - 1)
 		co.stable = min(co.stable, ent.Index-1)
 	}
-	co.log.append(ent)
+	co.append(ent)
 }
 
 func (co *Core) replyMatch(msg Message, match uint64, reject bool) {
 	co.send(Message{
 		Kind: MsgAppendReply, To: msg.From, Term: co.hard.Term, Index: match,
-		Reject: reject, Learner: co.hard.Learner, Disk: co.hard.Disk,
+		Reject: reject, Learner: co.learner(), Disk: co.hard.Disk,
 	})
 }
 
@@ -133,8 +135,8 @@
 	if co.role != Leader || msg.Term != co.hard.Term {
 		return
 	}
-	pr := co.progress[msg.From]
-	if !pr.accepts(msg) {
+	pr, ok := co.progress[msg.From]
+	if !ok || !pr.accepts(msg) {
 		return
 	}
 	pr.heard = now
@@ -147,7 +149,7 @@
 	pr.match = max(pr.match, msg.Index)
 	pr.next = max(pr.next, pr.match+1)
 	co.advanceCommit(now)
-	if pr.learner && pr.match >= co.commit {
+	if pr.learner && co.isMember(msg.From) && pr.match >= co.commit {
 		co.readmit(msg)
 	}
 }
@@ -179,9 +181,12 @@
 // advanceCommit applies the commit rule: a majority of voters holds the entry
 // and it is of the leader's own term.
 func (co *Core) advanceCommit(now time.Time) {
-	matches := make([]uint64, 0, len(co.Members))
+	matches := make([]uint64, 0, len(co.voters()))
 	matches = append(matches, co.stable)
-	for _, pr := range co.progress {
+	for id, pr := range co.progress {
+		if !co.isMember(id) {
+			continue
+		}
 		if pr.learner {
 			matches = append(matches, 0)
 			continue
@@ -195,7 +200,7 @@
 	}
 	co.commit = index
 	// Followers learn of the commit at once, not with the next heartbeat.
-	for _, id := range co.others() {
+	for _, id := range co.followers() {
 		co.sendAppend(now, id, true)
 	}
 }
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -20,7 +20,9 @@
 // Core is the log's state machine. Set the exported fields, then call Restore.
 // It is not safe for concurrent use.
 type Core struct {
-	ID        string
+	ID string
+	// Members are the voters that the cluster starts with, unless the disk
+	// names them.
 	Members   []string
 	Election  time.Duration
 	Heartbeat time.Duration
@@ -40,6 +42,8 @@
 	nextBeat    time.Time
 	votes       map[string]bool
 	progress    map[string]*progress
+	// history holds the sets of voters since the snapshot; the last is in force.
+	history []membersAt
 
 	early    []Message
 	messages []Message
@@ -63,6 +67,7 @@
 	co.hard = hard
 	co.role = Follower
 	co.log = memLog{snapIndex: snap.Index, snapTerm: snap.Term, snap: snap, entries: entries}
+	co.restoreMembers()
 	co.stable = co.log.last()
 	co.commit = snap.Index
 	co.applied = snap.Index
@@ -73,8 +78,8 @@
 // Status returns a copy of the member's state for display.
 func (co *Core) Status() Status {
 	st := Status{
-		ID: co.ID, Role: co.role, Term: co.hard.Term, Leader: co.leader, Learner: co.hard.Learner,
-		First: co.log.snapIndex + 1, Last: co.log.last(), Commit: co.commit,
+		ID: co.ID, Role: co.role, Term: co.hard.Term, Leader: co.leader, Learner: co.learner(),
+		First: co.log.snapIndex + 1, Last: co.log.last(), Commit: co.commit, Voters: co.voterIDs(),
 	}
 	if co.role == Leader {
 		st.Progress = make(map[string]uint64, len(co.progress))
@@ -102,7 +107,7 @@
 	}
 	co.leader = ""
 	co.resetElection(now)
-	if co.hard.Learner || !co.isMember(co.ID) {
+	if co.learner() || !co.isMember(co.ID) {
 		return
 	}
 	co.startPreVote(now)
@@ -117,7 +122,7 @@
 		return
 	}
 	co.nextBeat = now.Add(co.Heartbeat)
-	for _, id := range co.others() {
+	for _, id := range co.followers() {
 		co.sendAppend(now, id, true)
 	}
 }
@@ -126,8 +131,8 @@
 // majority for an election timeout is no leader.
 func (co *Core) quorumHeard(now time.Time) bool {
 	heard := 1
-	for _, pr := range co.progress {
-		if !pr.learner && now.Sub(pr.heard) < co.Election {
+	for id, pr := range co.progress {
+		if co.isMember(id) && !pr.learner && now.Sub(pr.heard) < co.Election {
 			heard++
 		}
 	}
@@ -147,13 +152,13 @@
 		return 0, 0, &Error{Op: "propose", Kind: KindBacklog}
 	}
 	ent := Entry{Index: co.log.last() + 1, Term: co.hard.Term, Kind: kind, Data: data}
-	co.log.append(ent)
+	co.append(ent)
 	return ent.Index, ent.Term, nil
 }
 
 // Step takes one message from another member.
 func (co *Core) Step(now time.Time, msg Message) {
-	if !co.isMember(msg.From) || msg.To != co.ID {
+	if msg.To != co.ID {
 		return
 	}
 	switch msg.Kind {
@@ -214,6 +219,7 @@
 		return
 	}
 	co.log.compact(snap)
+	co.compactMembers(snap.Index)
 }
 
 func (co *Core) applyReadmits(entries []Entry) {
@@ -232,27 +238,6 @@
 	}
 }
 
-func (co *Core) isMember(id string) bool {
-	for _, mb := range co.Members {
-		if mb == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (co *Core) others() []string {
-	ids := make([]string, 0, len(co.Members))
-	for _, id := range co.Members {
-		if id != co.ID {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-func (co *Core) quorum() int { return len(co.Members)/2 + 1 }
-
 func (co *Core) resetElection(now time.Time) {
 	jitter := time.Duration(co.Rand.Int63n(int64(co.Election)))
 	co.electionAt = now.Add(co.Election + jitter)
--- a/internal/state/replica/elect.go
+++ b/internal/state/replica/elect.go
@@ -20,7 +20,7 @@
 
 func (co *Core) askVotes(kind MessageKind, term uint64) {
 	last := co.log.last()
-	for _, id := range co.others() {
+	for _, id := range co.otherVoters() {
 		co.send(Message{Kind: kind, To: id, Term: term, Index: last, LogTerm: co.log.term(last)})
 	}
 }
@@ -44,7 +44,7 @@
 }
 
 func (co *Core) stepPreVote(now time.Time, msg Message) {
-	grant := !co.hard.Learner && msg.Term > co.hard.Term && !co.leaderAlive(now) && co.upToDate(msg)
+	grant := !co.learner() && msg.Term > co.hard.Term && !co.leaderAlive(now) && co.upToDate(msg)
 	reply := Message{Kind: MsgPreVoteReply, To: msg.From, Term: msg.Term, Reject: !grant}
 	if !grant {
 		reply.Term = co.hard.Term
@@ -62,7 +62,7 @@
 	if co.role != PreCandidate || msg.Term != co.hard.Term+1 {
 		return
 	}
-	co.votes[msg.From] = true
+	co.takeVote(msg.From)
 	co.countPreVotes(now)
 }
 
@@ -81,7 +81,7 @@
 		co.becomeFollower(now, msg.Term, "")
 	}
 	free := co.hard.Vote == "" || co.hard.Vote == msg.From
-	grant := !co.hard.Learner && free && co.role == Follower && co.upToDate(msg)
+	grant := !co.learner() && free && co.role == Follower && co.upToDate(msg)
 	if grant {
 		co.setTerm(msg.Term, msg.From)
 		co.resetElection(now)
@@ -97,7 +97,7 @@
 	if co.role != Candidate || msg.Term != co.hard.Term || msg.Reject {
 		return
 	}
-	co.votes[msg.From] = true
+	co.takeVote(msg.From)
 	co.countVotes(now)
 }
 
@@ -107,15 +107,23 @@
 	}
 }
 
+// takeVote counts the vote of a voter of the candidate's own set.
+func (co *Core) takeVote(id string) {
+	if co.isMember(id) {
+		co.votes[id] = true
+	}
+}
+
 func (co *Core) becomeLeader(now time.Time) {
 	co.role = Leader
 	co.leader = co.ID
-	co.progress = make(map[string]*progress, len(co.Members))
-	for _, id := range co.others() {
+	co.progress = make(map[string]*progress, len(co.voters()))
+	for _, id := range co.otherVoters() {
 		co.progress[id] = &progress{next: co.log.last() + 1, heard: now}
 	}
 	co.nextBeat = now
-	// An entry of the new term lets older entries commit (section 5.4.2).
-	_, _, _ = co.propose(EntryNoop, nil)
+	// An entry of the new term lets older entries commit (section 5.4.2). It
+	// repeats the set of voters, so that members that join later learn of it.
+	co.repeatMembers()
 	co.tickLeader(now)
 }
--- a/internal/state/replica/types.go
+++ b/internal/state/replica/types.go
@@ -31,6 +31,9 @@
 const (
 	KindNotLeader Kind = "not the leader"
 	KindBacklog   Kind = "too many entries wait for commit"
+	// KindPending says that an earlier change of members is not settled.
+	KindPending Kind = "a change of members is under way"
+	KindMembers Kind = "not a change of one member"
 )
 
 // Error is the error type of this package.
@@ -46,6 +49,9 @@
 	EntryNoop EntryKind = "noop"
 	// EntryReadmit makes a learner a voter again.
 	EntryReadmit EntryKind = "readmit"
+	// EntryMembers replaces the set of voters; it is in force from the moment
+	// a member appends it. Each new leader repeats the present set in one.
+	EntryMembers EntryKind = "members"
 )
 
 // Entry is one record of the log.
@@ -64,6 +70,15 @@
 	Learner bool `json:"learner,omitempty"`
 	// Disk identifies the data folder, so that a wiped one is known.
 	Disk string `json:"disk"`
+	// Initial lists the voters that the cluster was created with; it is empty
+	// where they come with the settings, and for members that joined later.
+	Initial []string `json:"initial,omitempty"`
+}
+
+// Membership is the set of voters, each with the disk that it was admitted
+// with. An empty disk stands for any disk that is not a learner's.
+type Membership struct {
+	Voters map[string]string `json:"voters"`
 }
 
 // Snapshot is the applied state up to an index.
@@ -71,6 +86,9 @@
 	Index uint64 `json:"index"`
 	Term  uint64 `json:"term"`
 	Data  []byte `json:"data,omitempty"`
+	// Members is the set of voters at the index; it may be empty in a
+	// snapshot of a cluster whose members come with the settings.
+	Members Membership `json:"members"`
 }
 
 // MessageKind tells messages apart.
@@ -157,4 +175,6 @@
 	Last     uint64            `json:"last"`
 	Commit   uint64            `json:"commit"`
 	Progress map[string]uint64 `json:"progress,omitempty"`
+	// Voters are the present voters.
+	Voters []string `json:"voters"`
 }
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -74,6 +74,22 @@
 // Format prepares an empty folder as that of a voting member of a new
 // cluster, or of a learner.
 func Format(dir string, learner bool) error {
+	return format(dir, replica.Hard{Learner: learner})
+}
+
+// FormatInitial prepares an empty folder as that of a voting member of a new
+// cluster with the given voters, which are kept with the log.
+func FormatInitial(dir string, voters []string) error {
+	return format(dir, replica.Hard{Initial: voters})
+}
+
+// Formatted reports whether the folder holds a log.
+func Formatted(dir string) (bool, error) {
+	name, err := newestLog(dir)
+	return name != "", err
+}
+
+func format(dir string, hard replica.Hard) error {
 	if err := os.MkdirAll(dir, folderMode); err != nil {
 		return &Error{Op: "format " + dir, Kind: KindIO, Err: err}
 	}
@@ -84,7 +100,7 @@
 	if name != "" {
 		return &Error{Op: "format " + dir, Kind: KindExists}
 	}
-	hard := replica.Hard{Learner: learner, Disk: uuid.NewString()}
+	hard.Disk = uuid.NewString()
 	return writeFile(dir, logName(0), []any{record{Hard: &hard}})
 }
 
