--- a/cmd/greengageweir/control.go
+++ b/cmd/greengageweir/control.go
@@ -16,6 +16,7 @@
 	"greengageweir/internal/duty/settings"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/link/peer"
+	"greengageweir/internal/member/links"
 	"greengageweir/internal/state/node"
 	"greengageweir/internal/state/replica"
 	"greengageweir/internal/state/wal"
@@ -88,12 +89,12 @@
 	mc := machine.New(hb.Publish, hb.Reset)
 	hb.View = mc.View
 	rg := registry.New()
-	links := &serve.Links{Self: self, Token: kt.token, Addrs: cc.members, Logger: kt.logger}
+	mbl := &links.Links{Self: self, Token: kt.token, Addrs: cc.members, Logger: kt.logger}
 	nd := &node.Node{
-		ID: cc.ID, Members: cc.memberIDs(), Dir: cc.DataDir, Machine: mc, Send: links.Send, Clock: clk,
+		ID: cc.ID, Members: cc.memberIDs(), Dir: cc.DataDir, Machine: mc, Send: mbl.Send, Clock: clk,
 		Logger: kt.logger, Heartbeat: cc.Heartbeat, Election: cc.Election,
 	}
-	sv := &serve.Service{Self: cc.ID, Node: nd, Machine: mc, Hub: hb, Registry: rg, Links: links, Clock: clk}
+	sv := &serve.Service{Self: cc.ID, Node: nd, Machine: mc, Hub: hb, Registry: rg, Links: mbl, Clock: clk}
 	api := &operatorapi.API{Service: sv}
 	dump := func() any {
 		st := controlState{Log: nd.Status(), Subscribers: hb.Subscribers()}
@@ -107,7 +108,7 @@
 		return nil
 	}
 	return []weir.Step{
-		links,
+		mbl,
 		nd,
 		&peer.Server{Addr: cc.PeerAddr, Token: kt.token, Handle: sv.Handle, Gone: hb.Gone, Logger: kt.logger},
 		&reconcile.Reconciler{
--- /dev/null
+++ b/cmd/greengageweir/platform_entry.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"sync/atomic"
+	"time"
+
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+	"greengageweir/internal/entry/relay"
+	"greengageweir/internal/link/peer"
+	"greengageweir/internal/member/links"
+	"greengageweir/internal/member/roster"
+	"greengageweir/platform"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+)
+
+const (
+	// entryLinger is how long a stopping entry instance still takes requests:
+	// the platform looks once a second and needs two refusals.
+	entryLinger = 2500 * time.Millisecond
+	// entryPatience is the time for requests in flight; with entryLinger it
+	// stays within the platform's grace.
+	entryPatience = 3 * time.Second
+)
+
+// platformEntryCommand runs an entry instance on the platform's machines.
+type platformEntryCommand struct{ platformFlags }
+
+// Execute implements flags.Commander.
+func (pc *platformEntryCommand) Execute([]string) error {
+	st, lg, err := pc.open("entry")
+	if err != nil {
+		return err
+	}
+	ctx := stopContext(lg, func() string { return "requests in flight" })
+	var stopping atomic.Bool
+	go func() {
+		<-ctx.Done()
+		stopping.Store(true)
+	}()
+	err = run.All(ctx, lg, entrySteps(&st, lg, &stopping)...)
+	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
+	return err
+}
+
+func entrySteps(st *platform.Settings, lg log.Logger, stopping *atomic.Bool) []weir.Step {
+	self := peer.Identity{ID: st.PeerAddress(), Role: "entry", Zone: string(st.Zone)}
+	lks := &links.Links{Self: self, Token: peerToken, Logger: lg, NoRaft: true}
+	ros := &roster.Roster{Self: self.ID, Seeds: st.SeedPeers(), Links: lks, Logger: lg}
+	rly := &relay.Relay{Links: lks, Roster: ros, Clock: clock.Steady{}, Logger: lg}
+	ready := func() bool { return !stopping.Load() && rly.Ready() }
+	return []weir.Step{
+		lks,
+		ros,
+		metricsStep(st, func() any { return map[string]any{"holders": ros.Holders(), "leader": ros.Leader()} }),
+		&ops.Listener{
+			Name: "callers' listener", Addr: st.Bind.Front, Handler: platform.NewFront(rly),
+			Linger: entryLinger, Patience: entryPatience,
+		},
+		&ops.Listener{Name: "readiness", Addr: st.Bind.Ready, Handler: platform.NewReady(ready)},
+	}
+}
--- /dev/null
+++ b/internal/config/catalog/catalog.go
@@ -0,0 +1,137 @@
+// Package catalog holds the operator's complete configuration: the queues
+// that callers submit jobs to and the pools whose workers run them.
+//
+// Usage:
+//
+//	ct := catalog.Catalog{Version: 7, Queues: queues, Pools: pools, Document: body}
+//	err := ct.Check()
+//	qu, ok := ct.Find("pule25.example", "/puxa400/5c0e")
+package catalog
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"greengageweir/internal/duty/fault"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindInvalid says that a configuration cannot come into force.
+const KindInvalid Kind = "configuration is not valid"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Advice tells how the adviser of a queue answers.
+type Advice struct {
+	Base      time.Duration `json:"base,omitempty"`
+	PerWorker time.Duration `json:"perWorker,omitempty"`
+	// Validity is how long a ticket holds.
+	Validity time.Duration `json:"validity,omitempty"`
+}
+
+// Queue is where callers submit jobs.
+type Queue struct {
+	Name   string        `json:"name"`
+	Host   string        `json:"host"`
+	Prefix string        `json:"prefix"`
+	Pool   weir.PoolName `json:"pool"`
+	// Timeout bounds one call of a caller.
+	Timeout time.Duration `json:"timeout"`
+	// Target is the latency that callers want on top of the stretched work.
+	Target      time.Duration `json:"target"`
+	Stretch     float64       `json:"stretch"`
+	Priority    int           `json:"priority"`
+	MaxAttempts int           `json:"maxAttempts"`
+	// Advice is set where an adviser names the workers of a step.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Key names the queue across versions.
+func (qu Queue) Key() string { return qu.Host + qu.Prefix }
+
+// Pool is a set of instances that run the tasks of queues.
+type Pool struct {
+	Name weir.PoolName `json:"name"`
+	// Guards says that the workers refuse what does not fit.
+	Guards bool `json:"guards"`
+	// Standby pools hold instances that are off.
+	Standby bool `json:"standby"`
+}
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Version int64   `json:"version"`
+	Queues  []Queue `json:"queues"`
+	Pools   []Pool  `json:"pools"`
+	// Document is the operator's own text, kept to be read back.
+	Document []byte `json:"document"`
+}
+
+// Check reports the first thing that is wrong.
+func (ct Catalog) Check() error {
+	pools := map[weir.PoolName]bool{}
+	for _, po := range ct.Pools {
+		if po.Name == "" || pools[po.Name] {
+			return invalid("pool %q is unnamed or named twice", po.Name)
+		}
+		pools[po.Name] = true
+	}
+	keys := map[string]string{}
+	for _, qu := range ct.Queues {
+		switch {
+		case qu.Host == "" || !strings.HasPrefix(qu.Prefix, "/"):
+			return invalid("queue %q has no host or path", qu.Name)
+		case !pools[qu.Pool]:
+			return invalid("queue %q names the unknown pool %q", qu.Name, qu.Pool)
+		case keys[qu.Key()] != "":
+			return invalid("queues %q and %q share host and path", keys[qu.Key()], qu.Name)
+		case qu.Timeout <= 0:
+			return invalid("queue %q has no timeout", qu.Name)
+		}
+		keys[qu.Key()] = qu.Name + " "
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return &Error{Op: "check configuration", Kind: KindInvalid, Err: errors.New(fmt.Sprintf(format, args...))}
+}
+
+// Find returns the queue with the longest prefix of the path.
+func (ct Catalog) Find(host, path string) (Queue, bool) {
+	best, found := Queue{}, false
+	for _, qu := range ct.Queues {
+		if qu.Host == host && strings.HasPrefix(path, qu.Prefix) && (!found || len(qu.Prefix) > len(best.Prefix)) {
+			best, found = qu, true
+		}
+	}
+	return best, found
+}
+
+// ByKey returns the queue with a key.
+func (ct Catalog) ByKey(key string) (Queue, bool) {
+	for _, qu := range ct.Queues {
+		if qu.Key() == key {
+			return qu, true
+		}
+	}
+	return Queue{}, false
+}
+
+// PoolByName returns a pool.
+func (ct Catalog) PoolByName(name weir.PoolName) (Pool, bool) {
+	for _, po := range ct.Pools {
+		if po.Name == name {
+			return po, true
+		}
+	}
+	return Pool{}, false
+}
--- /dev/null
+++ b/internal/contract/jobapi/jobapi.go
@@ -0,0 +1,137 @@
+// Package jobapi holds the calls about jobs, configuration, workers and waves
+// that any process of the system may take and the leader answers.
+//
+// Usage:
+//
+//	rep, err := handler.Handle(ctx, jobapi.Call{Kind: jobapi.Submit, Host: host, Path: path, Job: job})
+package jobapi
+
+import (
+	"context"
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+
+	weir "greengageweir"
+)
+
+// Method is the name of the call between processes.
+const Method = "job.call"
+
+// Directory asks a holder of the log for all of them, and introduces the
+// asking process, see Introduction.
+const Directory = "member.directory"
+
+// Kind tells calls apart.
+type Kind string
+
+// The kinds of calls.
+const (
+	// Submit, State and Cancel name a queue by Host and Path; what follows the
+	// queue's prefix in Path is the job's id. Without an id, State asks how
+	// many of the queue's jobs have not begun.
+	Submit Kind = "submit"
+	State  Kind = "state"
+	Cancel Kind = "cancel"
+	// PutCatalog and GetCatalog change and read the configuration.
+	PutCatalog Kind = "putCatalog"
+	GetCatalog Kind = "getCatalog"
+	// Announce and Depart are a worker's.
+	Announce Kind = "announce"
+	Depart   Kind = "depart"
+	// StartWave and GetWave are about maintenance.
+	StartWave Kind = "startWave"
+	GetWave   Kind = "getWave"
+)
+
+// Call is one call. Fields that its kind does not use are empty.
+type Call struct {
+	Kind Kind   `json:"kind"`
+	Host string `json:"host,omitempty"`
+	Path string `json:"path,omitempty"`
+	// Job is what is submitted, without id and queue.
+	Job     *spec.Job        `json:"job,omitempty"`
+	Catalog *catalog.Catalog `json:"catalog,omitempty"`
+	Worker  *Announcement    `json:"worker,omitempty"`
+	Wave    *store.Wave      `json:"wave,omitempty"`
+	Number  int64            `json:"number,omitempty"`
+	// Hops counts the processes that forwarded the call.
+	Hops int `json:"hops,omitempty"`
+}
+
+// Announcement is a worker's word about itself.
+type Announcement struct {
+	store.Worker
+	// Sequence rises with each announcement of a life.
+	Sequence int64 `json:"seq"`
+	// Clock is the worker's steady clock.
+	Clock time.Duration `json:"clock"`
+	// DrainLeft is the least time that is left to a draining worker.
+	DrainLeft time.Duration `json:"drainLeft,omitempty"`
+}
+
+// Outcome is how a call ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OK Outcome = "ok"
+	// NoQueue says that the configuration has no such queue.
+	NoQueue Outcome = "noQueue"
+	// NoJob says that there is no such job or wave.
+	NoJob Outcome = "noJob"
+	// Invalid says that the call can never succeed as it is.
+	Invalid Outcome = "invalid"
+	// Refused says that the call certainly had no effect; RetryAfter tells
+	// when it may succeed.
+	Refused Outcome = "refused"
+	// Unavailable says that no leader could be asked; the call certainly had
+	// no effect.
+	Unavailable Outcome = "unavailable"
+	// Unknown says that the call may or may not take effect.
+	Unknown Outcome = "unknown"
+)
+
+// Reply is the answer to a call.
+type Reply struct {
+	Outcome    Outcome       `json:"outcome"`
+	Reason     string        `json:"reason,omitempty"`
+	Phase      store.Phase   `json:"phase,omitempty"`
+	Pending    int           `json:"pending,omitempty"`
+	Document   []byte        `json:"document,omitempty"`
+	Done       bool          `json:"done,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Leader is the process that answered, where it leads.
+	Leader string `json:"leader,omitempty"`
+}
+
+// Handler answers calls.
+type Handler interface {
+	Handle(ctx context.Context, call Call) Reply
+}
+
+// Introduction is what a process says of itself in Directory.
+type Introduction struct {
+	// Holder is set for processes that hold the log.
+	Holder bool   `json:"holder,omitempty"`
+	ID     string `json:"id"`
+}
+
+// Listing is the answer to Directory.
+type Listing struct {
+	Holders []string `json:"holders"`
+	Leader  string   `json:"leader,omitempty"`
+	// Started reports whether the process knows of a running cluster.
+	Started bool `json:"started,omitempty"`
+}
+
+// QueueOf splits a path into the queue's and the job's part.
+func QueueOf(ct catalog.Catalog, host, path string) (catalog.Queue, weir.JobID, bool) {
+	qu, ok := ct.Find(host, path)
+	if !ok {
+		return catalog.Queue{}, "", false
+	}
+	return qu, weir.JobID(path[len(qu.Prefix):]), true
+}
--- a/internal/control/serve/service.go
+++ b/internal/control/serve/service.go
@@ -18,6 +18,7 @@
 	"greengageweir/internal/fleet/command"
 	"greengageweir/internal/fleet/machine"
 	"greengageweir/internal/link/peer"
+	"greengageweir/internal/member/links"
 	"greengageweir/internal/state/node"
 	"greengageweir/internal/state/replica"
 
@@ -44,7 +45,7 @@
 	Machine  *machine.Machine
 	Hub      *hub.Hub
 	Registry *registry.Registry
-	Links    *Links
+	Links    *links.Links
 	Clock    weir.Clock
 }
 
--- a/internal/duty/clock/clock.go
+++ b/internal/duty/clock/clock.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // origin is the start of the process, with a monotonic reading.
@@ -21,6 +23,25 @@
 // Now returns the present time.
 func (System) Now() time.Time { return origin.Add(time.Since(origin)) }
 
+// Steady counts the time since the machine started, also while it stood still.
+// It does not tell the time of day.
+type Steady struct{}
+
+// Now returns the time since the machine's start as a time after 1970.
+func (Steady) Now() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return origin.Add(time.Since(origin))
+	}
+	return time.Unix(ts.Sec, ts.Nsec)
+}
+
+// Wall is the machine's time of day, with all its steps.
+type Wall struct{}
+
+// Now returns the time of day.
+func (Wall) Now() time.Time { return time.Now().Round(0) }
+
 // Manual is a clock that tests move by hand.
 type Manual struct {
 	mu  sync.Mutex
--- /dev/null
+++ b/internal/job/owner/owner.go
@@ -0,0 +1,372 @@
+// Package owner is the leader's duty for jobs: it keeps a session with each
+// worker, records ends, places tasks that are ready and stops what is not
+// wanted. It works only while its process leads the replicated log; all that
+// a later leader must know is in the log before it is acted on.
+//
+// Usage:
+//
+//	ow := &owner.Owner{Store: st, Committer: cm, Lead: nd, Workers: calls, ...}
+//	go ow.Run(ctx)
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/task/session"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindBusy     Kind = "too many changes wait"
+	KindInternal Kind = "internal"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// roundPause is the least time between two rounds of decisions, so that
+	// events that come together are decided together.
+	roundPause = 3 * time.Millisecond
+	// roundEvery is the longest time between two rounds.
+	roundEvery = 100 * time.Millisecond
+	// followerPoll is how often a process looks whether it leads.
+	followerPoll = 30 * time.Millisecond
+	// leadSlack is how long after an election an earlier leader may still
+	// give leases: it stops when it has not heard from a majority for an
+	// election timeout, and a reply may have been under way.
+	leadSlack = time.Second
+)
+
+// Leadership tells whether this process leads, and for sure.
+type Leadership interface {
+	weir.Authority
+	// Term returns the term that this process leads, 0 while it does not.
+	Term() uint64
+}
+
+// Owner decides about tasks while its process leads. Set the exported fields
+// before Run.
+type Owner struct {
+	Store     *store.Store
+	Committer *Committer
+	Lead      Leadership
+	Workers   weir.TaskWorkers
+	// Machines may be nil where no platform can be asked for maintenance.
+	Machines weir.MachinePlatform
+	// Clock is steady and counts time in which the machine stood still; Wall
+	// tells the time of day.
+	Clock  weir.Clock
+	Wall   weir.Clock
+	Logger log.Logger
+	// Lease is how long a worker may go on without a renewal.
+	Lease time.Duration
+	// Retention is how long the state of an ended job can be asked for.
+	Retention time.Duration
+	// HolderName names this process to the machines' platform.
+	HolderName string
+	// OrderPause is how long after an election no machine is ordered about.
+	OrderPause time.Duration
+	// StopTime is how long a stop takes at most.
+	StopTime time.Duration
+
+	wake chan struct{}
+
+	mu    sync.Mutex
+	reign *reign // nil while another process leads
+}
+
+// reign is what a leader knows besides the replicated state.
+type reign struct {
+	term     uint64
+	since    time.Time
+	sessions map[weir.InstanceID]*attended
+	// planning says that starts are being committed.
+	planning bool
+	health   map[weir.InstanceID]*health
+	avoid    map[weir.TaskRef]weir.InstanceID
+	pace     map[weir.InstanceID]*paced
+	machines *machineDuty
+}
+
+// attended is a session with its goroutine.
+type attended struct {
+	ss     *session.Session
+	worker store.Worker
+	cancel context.CancelFunc
+	dirty  bool
+	// announced is when the worker was last heard of.
+	announced time.Time
+	sequence  int64
+}
+
+// String is the step's name in logs.
+func (ow *Owner) String() string { return "job owner" }
+
+// Default checks the settings.
+func (ow *Owner) Default() error {
+	ow.wake = make(chan struct{}, 1)
+	if ow.Logger == nil {
+		ow.Logger = log.NewNopLogger()
+	}
+	if ow.Lease <= 0 || ow.Retention <= 0 {
+		return &Error{Op: "default", Kind: KindInternal}
+	}
+	return nil
+}
+
+// Wake asks for a round of decisions soon; it never blocks.
+func (ow *Owner) Wake() {
+	select {
+	case ow.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run decides whenever this process leads, until the context ends.
+func (ow *Owner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(followerPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if term := ow.Lead.Term(); term != 0 {
+				ow.lead(ctx, term)
+			}
+		}
+	}
+}
+
+// lead works for one term.
+func (ow *Owner) lead(ctx context.Context, term uint64) {
+	// An own entry that is applied shows that all earlier ones are.
+	if _, err := ow.Committer.Commit(ctx, store.Change{}); err != nil || ow.Lead.Term() != term {
+		return
+	}
+	leadCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	re := &reign{
+		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
+		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
+		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(),
+	}
+	ow.setReign(re)
+	defer ow.setReign(nil)
+	_ = ow.Logger.Log("level", "info", "msg", "leads jobs", "term", term)
+	ticker := time.NewTicker(roundEvery)
+	defer ticker.Stop()
+	all := true
+	for ctx.Err() == nil && ow.Lead.Term() == term {
+		begin := ow.Clock.Now()
+		ow.round(leadCtx, re, begin, all)
+		metrics.GetOrCreateHistogram("weir_job_round_seconds").Update(ow.Clock.Now().Sub(begin).Seconds())
+		time.Sleep(roundPause)
+		select {
+		case <-ctx.Done():
+		case <-ow.wake:
+			all = false
+		case <-ticker.C:
+			all = true
+		}
+	}
+	_ = ow.Logger.Log("level", "info", "msg", "no longer leads jobs", "term", term)
+}
+
+func (ow *Owner) setReign(re *reign) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.reign = re
+}
+
+// Ready reports whether this process leads and holds all that earlier leaders
+// have committed.
+func (ow *Owner) Ready() bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.reign != nil && ow.Lead.Leads()
+}
+
+// Heard notes that a worker announced itself. It reports false for word that
+// is older than what is known.
+func (ow *Owner) Heard(ann jobapi.Announcement, now time.Time) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if ow.reign == nil {
+		return true
+	}
+	at := ow.reign.sessions[ann.ID]
+	if at == nil || at.worker.Born < ann.Born {
+		return true
+	}
+	if at.worker.Born > ann.Born || at.sequence > ann.Sequence {
+		return false
+	}
+	at.announced, at.sequence = now, ann.Sequence
+	return true
+}
+
+// WakeAll asks for a round that looks at each worker.
+func (ow *Owner) WakeAll() {
+	ow.mu.Lock()
+	if ow.reign != nil {
+		for _, at := range ow.reign.sessions {
+			at.dirty = true
+		}
+	}
+	ow.mu.Unlock()
+	ow.Wake()
+}
+
+// round takes all decisions that can be taken now. With all set it looks at
+// each worker, otherwise only at those with news.
+func (ow *Owner) round(ctx context.Context, re *reign, now time.Time, all bool) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.attend(ctx, re, now)
+	for id, at := range re.sessions {
+		if all || at.dirty {
+			at.dirty = false
+			ow.reconcile(re, id, at, now)
+		}
+	}
+	if all {
+		ow.paceAll(re)
+		ow.maintain(ctx, re, now)
+		ow.forget(now)
+	}
+	ow.place(re, now)
+}
+
+// attend starts and ends sessions as workers come and go.
+func (ow *Owner) attend(ctx context.Context, re *reign, now time.Time) {
+	present := make(map[weir.InstanceID]store.Worker, len(re.sessions))
+	ow.Store.Read(func(rd store.Reader) {
+		rd.EachWorker(func(wk store.Worker) { present[wk.ID] = wk })
+	})
+	for id, at := range re.sessions {
+		wk, ok := present[id]
+		if ok && wk.Born == at.worker.Born && wk.Address == at.worker.Address {
+			at.worker = wk
+			continue
+		}
+		at.cancel()
+		delete(re.sessions, id)
+		if wk.Address != at.worker.Address {
+			ow.Workers.Forget(at.worker.Address)
+		}
+	}
+	for id, wk := range present {
+		if re.sessions[id] == nil {
+			re.sessions[id] = ow.open(ctx, re, wk, now)
+		}
+	}
+}
+
+func (ow *Owner) open(ctx context.Context, re *reign, wk store.Worker, now time.Time) *attended {
+	ssCtx, cancel := context.WithCancel(ctx)
+	at := &attended{worker: wk, cancel: cancel, announced: now}
+	at.ss = &session.Session{
+		Life:  weir.WorkerLife{ID: wk.ID, Born: wk.Born, Address: wk.Address},
+		Token: re.term, Lease: ow.Lease, Workers: ow.Workers, Leads: ow.Lead, Clock: ow.Clock, Logger: ow.Logger,
+		LapsesBy: re.since.Add(leadSlack + ow.Lease + ow.Lease/20),
+	}
+	at.ss.Changed = func() { ow.changed(at) }
+	if err := at.ss.Default(); err != nil {
+		_ = ow.Logger.Log("level", "error", "msg", "session not opened", "worker", wk.ID, "err", err)
+	}
+	go func() { _ = at.ss.Run(ssCtx) }()
+	return at
+}
+
+func (ow *Owner) changed(at *attended) {
+	ow.mu.Lock()
+	at.dirty = true
+	ow.mu.Unlock()
+	ow.Wake()
+}
+
+// reconcile records what became of the runs at one worker.
+func (ow *Owner) reconcile(re *reign, id weir.InstanceID, at *attended, now time.Time) {
+	if at.ss.Lapsed(now) {
+		ow.dropWorker(at, now)
+		return
+	}
+	var placed []session.Placed
+	ow.Store.Read(func(rd store.Reader) {
+		for key := range rd.Runs(id) {
+			js := rd.Job(key.Task.Job)
+			placed = append(placed, session.Placed{Key: key, Wanted: !js.Phase.Over() && !js.Task(key.Task).Done})
+		}
+	})
+	out := at.ss.Reconcile(now, placed)
+	for key, reason := range out.Refused {
+		ow.noteRefusal(re, id, key, reason, now)
+	}
+	if len(out.Ends) == 0 {
+		return
+	}
+	ow.recordEnds(re, id, at, out, now)
+}
+
+func (ow *Owner) recordEnds(re *reign, id weir.InstanceID, at *attended, out session.Outcome, now time.Time) {
+	changes := make([]store.Change, len(out.Ends))
+	for ix := range out.Ends {
+		en := &out.Ends[ix]
+		changes[ix] = store.Change{End: en}
+		ow.noteEnd(re, id, *en, now)
+		metrics.GetOrCreateCounter(`weir_run_ends_total{how="` + string(en.How) + `"}`).Inc()
+		if en.How != store.EndDone {
+			_ = ow.Logger.Log("level", "info", "msg", "run ended", "job", en.Task.Job, "task", en.Task, "run", en.Run,
+				"worker", id, "how", string(en.How), "checkpoint", en.Checkpoint)
+		}
+	}
+	reply := func(_ []store.Answer, err error) {
+		if err != nil {
+			at.ss.NotRecorded()
+			_ = ow.Logger.Log("level", "warn", "msg", "ends not recorded", "worker", id, "err", err)
+			return
+		}
+		if out.Number > 0 {
+			at.ss.Recorded(out.Number)
+		}
+	}
+	if !ow.Committer.Submit(changes, reply) {
+		at.ss.NotRecorded()
+	}
+}
+
+// dropWorker ends a life whose lease has surely lapsed.
+func (ow *Owner) dropWorker(at *attended, now time.Time) {
+	wk := at.worker
+	lv := store.Leave{ID: wk.ID, Born: wk.Born, Reason: "lease lapsed"}
+	_ = ow.Logger.Log("level", "warn", "msg", "worker given up", "worker", wk.ID, "reason", lv.Reason,
+		"announcedAgo", now.Sub(at.announced).String())
+	ow.Committer.Submit([]store.Change{{Leave: &lv}}, func([]store.Answer, error) {})
+}
+
+const forgetBatch = 64
+
+// forget drops jobs whose state need no longer be told.
+func (ow *Owner) forget(now time.Time) {
+	_ = now
+	var ids []weir.JobID
+	ow.Store.Read(func(rd store.Reader) { ids = rd.Expired(ow.Wall.Now().Add(-ow.Retention), forgetBatch) })
+	if len(ids) > 0 {
+		ow.Committer.Submit([]store.Change{{Forget: ids}}, func([]store.Answer, error) {})
+	}
+}
--- /dev/null
+++ b/internal/job/owner/place.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/schedule/plan"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	weir "greengageweir"
+)
+
+// place commits and orders the starts that the plan asks for. Only one plan is
+// under way at a time, since the next must know of its starts.
+func (ow *Owner) place(re *reign, now time.Time) {
+	if re.planning {
+		return
+	}
+	var starts []plan.Placement
+	ow.Store.Read(func(rd store.Reader) {
+		groups := ow.ready(re, rd)
+		if len(groups) > 0 {
+			starts = plan.Place(ow.Wall.Now(), groups, ow.usable(re, rd, now))
+		}
+	})
+	if len(starts) == 0 {
+		return
+	}
+	changes := make([]store.Change, len(starts))
+	for ix, pl := range starts {
+		changes[ix] = store.Change{Start: &store.Start{Task: pl.Task, Run: pl.Run, Worker: pl.Worker, Born: pl.Born}}
+	}
+	re.planning = true
+	if !ow.Committer.Submit(changes, func(answers []store.Answer, err error) { ow.started(re, starts, answers, err) }) {
+		re.planning = false
+	}
+}
+
+// started orders the runs whose intents are committed. It runs on the
+// committer's goroutine.
+func (ow *Owner) started(re *reign, starts []plan.Placement, answers []store.Answer, err error) {
+	defer ow.Wake()
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	re.planning = false
+	if err != nil || ow.reign != re {
+		_ = ow.Logger.Log("level", "warn", "msg", "starts not committed", "count", len(starts), "err", err)
+		return
+	}
+	ow.Store.Read(func(rd store.Reader) {
+		for ix, pl := range starts {
+			if !answers[ix].Taken {
+				_ = ow.Logger.Log("level", "info", "msg", "start not taken", "job", pl.Task.Job, "task", pl.Task,
+					"run", pl.Run, "worker", pl.Worker, "reason", answers[ix].Reason)
+				continue
+			}
+			ow.order(re, rd, pl)
+		}
+	})
+}
+
+func (ow *Owner) order(re *reign, rd store.Reader, pl plan.Placement) {
+	at := re.sessions[pl.Worker]
+	js := rd.Job(pl.Task.Job)
+	if at == nil || at.worker.Born != pl.Born || js == nil || js.Phase.Over() {
+		return
+	}
+	tk := js.Task(pl.Task)
+	if tk == nil {
+		return
+	}
+	at.ss.Start(weir.RunOrder{
+		RunKey: weir.RunKey{Task: pl.Task, Run: pl.Run}, Text: js.Spec.Text, Checkpoint: tk.Checkpoint,
+	})
+	metrics.GetOrCreateCounter("weir_runs_ordered_total").Inc()
+	_ = ow.Logger.Log("level", "debug", "msg", "run ordered", "job", pl.Task.Job, "task", pl.Task, "run", pl.Run,
+		"worker", pl.Worker, "checkpoint", tk.Checkpoint)
+}
+
+// ready lists the steps with tasks that may start now.
+func (ow *Owner) ready(re *reign, rd store.Reader) []plan.Group {
+	var groups []plan.Group
+	ct := rd.Catalog()
+	wall := ow.Wall.Now()
+	rd.EachActive(func(js *store.JobState) {
+		if js.Phase.Over() {
+			return
+		}
+		qu, ok := ct.ByKey(js.Spec.Queue)
+		if !ok {
+			return
+		}
+		for oc := range js.Rounds {
+			if due := js.Spec.DueAt(oc); due.After(wall) {
+				break
+			}
+			for sp := range js.Rounds[oc] {
+				if gr, ok := ow.group(re, js, qu, oc, sp); ok {
+					groups = append(groups, gr)
+				}
+			}
+		}
+	})
+	return groups
+}
+
+func (ow *Owner) group(re *reign, js *store.JobState, qu catalog.Queue, oc, sp int) (plan.Group, bool) {
+	ss := &js.Rounds[oc][sp]
+	if ss.Left == 0 || !js.StepReady(oc, sp) {
+		return plan.Group{}, false
+	}
+	step := js.Spec.Steps[sp]
+	ref := spec.Ref{Job: js.Spec.ID, Occurrence: oc, Step: sp}
+	gr := plan.Group{
+		Step: ref, Spec: step, Pool: qu.Pool, Priority: qu.Priority,
+		StartBy: startBy(js.Spec, js.Accepted, qu, oc, sp), On: map[weir.InstanceID]int{},
+	}
+	highest := 0
+	for ix := range ss.Tasks {
+		tk := &ss.Tasks[ix]
+		highest = max(highest, tk.Run)
+		if tk.Placed() {
+			gr.On[tk.Worker]++
+			continue
+		}
+		if !tk.Done {
+			ref.Index = ix
+			gr.Tasks = append(gr.Tasks, plan.Task{Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, Avoid: re.avoid[ref]})
+		}
+	}
+	if step.Gang {
+		if len(gr.Tasks) < len(ss.Tasks) {
+			return plan.Group{}, false
+		}
+		for ix := range gr.Tasks {
+			gr.Tasks[ix].Run = highest + 1
+		}
+	}
+	return gr, len(gr.Tasks) > 0
+}
+
+// startBy returns when a step must start for its job to meet its objective,
+// going by the caller's estimates.
+func startBy(jb spec.Job, accepted time.Time, qu catalog.Queue, oc, sp int) time.Time {
+	due := jb.DueAt(oc)
+	if due.IsZero() {
+		due = accepted
+	}
+	// rest[i] is the longest chain of estimates from step i to the end.
+	rest := make([]time.Duration, len(jb.Steps))
+	longest := time.Duration(0)
+	for ix := len(jb.Steps) - 1; ix >= 0; ix-- {
+		rest[ix] += jb.Steps[ix].Estimate
+		longest = max(longest, rest[ix])
+		for _, before := range jb.Steps[ix].After {
+			rest[before] = max(rest[before], rest[ix])
+		}
+	}
+	objective := due.Add(qu.Target + time.Duration(qu.Stretch*float64(longest)))
+	return objective.Add(-rest[sp])
+}
+
+// usable lists the workers that can take tasks now.
+func (ow *Owner) usable(re *reign, rd store.Reader, now time.Time) []plan.Worker {
+	workers := make([]plan.Worker, 0, len(re.sessions))
+	for id, at := range re.sessions {
+		wk, ok := rd.Worker(id)
+		if !ok || wk.Draining || wk.Born != at.worker.Born || !at.ss.Usable() || re.machines.cordoned(wk.Machine) {
+			continue
+		}
+		hl := re.health[id]
+		if hl.resting(now) {
+			continue
+		}
+		pw := plan.Worker{ID: id, Born: wk.Born, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Free: wk.Room, Suspect: hl.suspect(now)}
+		for key, need := range rd.Runs(id) {
+			pw.Free = pw.Free.Minus(need)
+			step := rd.Job(key.Task.Job).Spec.Steps[key.Task.Step]
+			switch {
+			case step.Filling:
+				pw.Filling++
+			case step.Lasting && step.Target > 0:
+				pw.Serving++
+			}
+		}
+		workers = append(workers, pw)
+	}
+	return workers
+}
--- /dev/null
+++ b/internal/job/service/service.go
@@ -0,0 +1,349 @@
+// Package service answers calls about jobs, configuration, workers and waves.
+// A process that does not lead passes them on to the one that does.
+//
+// Usage:
+//
+//	sv := &service.Service{Store: st, Committer: cm, Owner: ow, ...}
+//	rep := sv.Handle(ctx, jobapi.Call{Kind: jobapi.State, Host: host, Path: path})
+package service
+
+import (
+	"context"
+	"time"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/job/owner"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/link/peer"
+	"greengageweir/internal/member/links"
+	"greengageweir/internal/state/node"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+)
+
+const (
+	// maxHops bounds the forwarding of a call while a new leader is elected.
+	maxHops = 2
+	// leaderPoll separates looks for a leader, and leaderWait bounds them:
+	// workers and operators ask another process after a second.
+	leaderPoll = 40 * time.Millisecond
+	leaderWait = 800 * time.Millisecond
+	// retryUnavailable is when a caller may try again while no leader can be
+	// reached: about the time of an election.
+	retryUnavailable = time.Second
+)
+
+// Lead tells who leads.
+type Lead interface {
+	// LeaderID returns the process that leads, "" where none is known.
+	LeaderID() string
+}
+
+// Service answers calls. Set the exported fields before use.
+type Service struct {
+	Self      string
+	Store     *store.Store
+	Committer *owner.Committer
+	Owner     *owner.Owner
+	Lead      Lead
+	Links     *links.Links
+	Clock     weir.Clock
+	Wall      weir.Clock
+	Logger    log.Logger
+}
+
+// Handle implements jobapi.Handler.
+func (sv *Service) Handle(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	begin := sv.Clock.Now()
+	rep := sv.handle(ctx, call)
+	took := sv.Clock.Now().Sub(begin)
+	metrics.GetOrCreateHistogram(`weir_call_seconds{kind="` + string(call.Kind) + `"}`).Update(took.Seconds())
+	if rep.Outcome != jobapi.OK || call.Kind == jobapi.Submit || call.Kind == jobapi.Cancel {
+		level := "debug"
+		if rep.Outcome != jobapi.OK && rep.Outcome != jobapi.NoQueue && rep.Outcome != jobapi.NoJob {
+			level = "info"
+		}
+		_ = sv.Logger.Log("level", level, "msg", "call answered", "kind", string(call.Kind), "path", call.Path,
+			"outcome", string(rep.Outcome), "reason", rep.Reason, "took", took.String(), "hops", call.Hops)
+	}
+	return rep
+}
+
+func (sv *Service) handle(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	until := sv.Clock.Now().Add(leaderWait)
+	for {
+		if sv.Owner.Ready() {
+			rep := sv.answer(ctx, call)
+			rep.Leader = sv.Self
+			return rep
+		}
+		leader := sv.Lead.LeaderID()
+		if leader != "" && leader != sv.Self && call.Hops < maxHops {
+			rep, sent := sv.forward(ctx, leader, call)
+			if sent {
+				return rep
+			}
+		}
+		if !sv.Clock.Now().Before(until) || call.Hops > 0 {
+			return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: "no leader", RetryAfter: retryUnavailable}
+		}
+		timer := time.NewTimer(leaderPoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: "no leader in time", RetryAfter: retryUnavailable}
+		case <-timer.C:
+		}
+	}
+}
+
+// forward passes a call on. It reports false where the call certainly had no
+// effect and may be tried again.
+func (sv *Service) forward(ctx context.Context, leader string, call jobapi.Call) (jobapi.Reply, bool) {
+	call.Hops++
+	var rep jobapi.Reply
+	err := sv.Links.Call(ctx, leader, jobapi.Method, call, &rep)
+	switch {
+	case err == nil && rep.Outcome == jobapi.Unavailable:
+		return rep, false
+	case err == nil:
+		return rep, true
+	case fault.Is(err, peer.KindNotSent) || fault.Is(err, links.KindNoPeer):
+		return jobapi.Reply{}, false
+	}
+	return jobapi.Reply{Outcome: jobapi.Unknown, Reason: "no answer from the leader"}, true
+}
+
+// answer answers a call as the leader.
+func (sv *Service) answer(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	switch call.Kind {
+	case jobapi.Submit:
+		return sv.submit(ctx, call)
+	case jobapi.State:
+		return sv.state(call)
+	case jobapi.Cancel:
+		return sv.cancel(ctx, call)
+	case jobapi.PutCatalog:
+		return sv.putCatalog(ctx, call)
+	case jobapi.GetCatalog:
+		return sv.getCatalog()
+	case jobapi.Announce:
+		return sv.announce(ctx, call)
+	case jobapi.Depart:
+		return sv.depart(ctx, call)
+	case jobapi.StartWave:
+		return sv.startWave(ctx, call)
+	case jobapi.GetWave:
+		return sv.getWave(call)
+	}
+	return jobapi.Reply{Outcome: jobapi.Invalid, Reason: "unknown kind of call"}
+}
+
+// commit makes a change and returns what to reply where that fails.
+func (sv *Service) commit(ctx context.Context, ch store.Change) (store.Answer, *jobapi.Reply) {
+	ans, err := sv.Committer.Commit(ctx, ch)
+	switch {
+	case err == nil:
+		return ans, nil
+	case fault.Is(err, owner.KindBusy) || fault.Is(err, node.KindBusy) || fault.Is(err, node.KindNotLeader):
+		return ans, &jobapi.Reply{Outcome: jobapi.Unavailable, Reason: err.Error(), RetryAfter: retryUnavailable}
+	}
+	return ans, &jobapi.Reply{Outcome: jobapi.Unknown, Reason: err.Error()}
+}
+
+// noCatalog is the answer before the first configuration.
+var noCatalog = jobapi.Reply{Outcome: jobapi.Unavailable, Reason: "no configuration yet", RetryAfter: retryUnavailable}
+
+func (sv *Service) submit(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	var rep *jobapi.Reply
+	jb := *call.Job
+	sv.Store.Read(func(rd store.Reader) {
+		ct := rd.Catalog()
+		qu, id, ok := jobapi.QueueOf(ct, call.Host, call.Path)
+		switch {
+		case ct.Version == 0:
+			rep = &noCatalog
+		case !ok:
+			rep = &jobapi.Reply{Outcome: jobapi.NoQueue}
+		case id == "":
+			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no job id"}
+		case rd.Job(id) != nil:
+			rep = &jobapi.Reply{Outcome: jobapi.OK, Reason: "known", Phase: rd.Job(id).Phase}
+		default:
+			jb.ID, jb.Queue = id, qu.Key()
+		}
+	})
+	if rep != nil {
+		return *rep
+	}
+	if err := jb.Check(); err != nil {
+		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
+	}
+	if _, failed := sv.commit(ctx, store.Change{Submit: &jb}); failed != nil {
+		return *failed
+	}
+	sv.Owner.Wake()
+	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Queued}
+}
+
+// job finds the job that a call names.
+func job(rd store.Reader, call jobapi.Call) (*store.JobState, *jobapi.Reply) {
+	ct := rd.Catalog()
+	if ct.Version == 0 {
+		return nil, &noCatalog
+	}
+	_, id, ok := jobapi.QueueOf(ct, call.Host, call.Path)
+	if !ok {
+		return nil, &jobapi.Reply{Outcome: jobapi.NoQueue}
+	}
+	js := rd.Job(id)
+	if js == nil {
+		return nil, &jobapi.Reply{Outcome: jobapi.NoJob}
+	}
+	return js, nil
+}
+
+// state tells a job's phase or, without a job's id, how many jobs wait.
+func (sv *Service) state(call jobapi.Call) jobapi.Reply {
+	var rep jobapi.Reply
+	sv.Store.Read(func(rd store.Reader) {
+		ct := rd.Catalog()
+		if qu, id, ok := jobapi.QueueOf(ct, call.Host, call.Path); ok && id == "" {
+			rep = jobapi.Reply{Outcome: jobapi.OK, Pending: rd.Pending(qu.Key())}
+			return
+		}
+		js, failed := job(rd, call)
+		if failed != nil {
+			rep = *failed
+			return
+		}
+		rep = jobapi.Reply{Outcome: jobapi.OK, Phase: js.Phase}
+	})
+	return rep
+}
+
+func (sv *Service) cancel(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	var id spec.ID
+	var rep *jobapi.Reply
+	sv.Store.Read(func(rd store.Reader) {
+		js, failed := job(rd, call)
+		switch {
+		case failed != nil:
+			rep = failed
+		case js.Phase.Over():
+			rep = &jobapi.Reply{Outcome: jobapi.OK, Phase: js.Phase}
+		default:
+			id = js.Spec.ID
+		}
+	})
+	if rep != nil {
+		return *rep
+	}
+	if _, failed := sv.commit(ctx, store.Change{Cancel: &id}); failed != nil {
+		return *failed
+	}
+	sv.Owner.WakeAll()
+	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Cancelled}
+}
+
+// putCatalog acknowledges a version that is not newer without taking it, as a
+// change that was accepted may be sent again at any time.
+func (sv *Service) putCatalog(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	if err := call.Catalog.Check(); err != nil {
+		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
+	}
+	ans, failed := sv.commit(ctx, store.Change{Catalog: call.Catalog})
+	if failed != nil {
+		return *failed
+	}
+	_ = sv.Logger.Log("level", "info", "msg", "configuration", "version", call.Catalog.Version, "taken", ans.Taken,
+		"reason", ans.Reason, "queues", len(call.Catalog.Queues), "pools", len(call.Catalog.Pools))
+	sv.Owner.Wake()
+	return jobapi.Reply{Outcome: jobapi.OK, Reason: ans.Reason}
+}
+
+func (sv *Service) getCatalog() jobapi.Reply {
+	var rep jobapi.Reply
+	sv.Store.Read(func(rd store.Reader) {
+		ct := rd.Catalog()
+		if ct.Version == 0 {
+			rep = noCatalog
+			return
+		}
+		rep = jobapi.Reply{Outcome: jobapi.OK, Document: ct.Document}
+	})
+	return rep
+}
+
+// announce takes a worker's word about itself. Only what is new is committed.
+func (sv *Service) announce(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	ann := call.Worker
+	if !sv.Owner.Heard(*ann, sv.Clock.Now()) {
+		return jobapi.Reply{Outcome: jobapi.OK, Reason: "out of date"}
+	}
+	known := false
+	sv.Store.Read(func(rd store.Reader) {
+		wk, ok := rd.Worker(ann.ID)
+		known = ok && wk == ann.Worker
+	})
+	if known {
+		return jobapi.Reply{Outcome: jobapi.OK}
+	}
+	wk := ann.Worker
+	ans, failed := sv.commit(ctx, store.Change{Join: &wk})
+	if failed != nil {
+		return *failed
+	}
+	_ = sv.Logger.Log("level", "info", "msg", "worker announced", "worker", wk.ID, "born", wk.Born, "pool", wk.Pool,
+		"address", wk.Address, "machine", wk.Machine, "rack", wk.Rack, "draining", wk.Draining, "taken", ans.Taken,
+		"reason", ans.Reason)
+	sv.Owner.WakeAll()
+	return jobapi.Reply{Outcome: jobapi.OK, Reason: ans.Reason}
+}
+
+// depart ends a worker's life on its own word.
+func (sv *Service) depart(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	var born int64
+	sv.Store.Read(func(rd store.Reader) {
+		wk, _ := rd.Worker(call.Worker.ID)
+		born = wk.Born
+	})
+	if born == 0 {
+		return jobapi.Reply{Outcome: jobapi.OK, Reason: "unknown"}
+	}
+	lv := store.Leave{ID: call.Worker.ID, Born: born, Reason: "departed"}
+	if _, failed := sv.commit(ctx, store.Change{Leave: &lv}); failed != nil {
+		return *failed
+	}
+	_ = sv.Logger.Log("level", "info", "msg", "worker departed", "worker", lv.ID)
+	sv.Owner.WakeAll()
+	return jobapi.Reply{Outcome: jobapi.OK}
+}
+
+func (sv *Service) startWave(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	if call.Wave.Number == 0 || call.Wave.AtOnce < 1 {
+		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: "a wave has a number and at least one machine at a time"}
+	}
+	if _, failed := sv.commit(ctx, store.Change{Wave: call.Wave}); failed != nil {
+		return *failed
+	}
+	_ = sv.Logger.Log("level", "info", "msg", "wave accepted", "wave", call.Wave.Number,
+		"machines", len(call.Wave.Machines), "atOnce", call.Wave.AtOnce, "deadline", call.Wave.Deadline)
+	sv.Owner.Wake()
+	return jobapi.Reply{Outcome: jobapi.OK}
+}
+
+func (sv *Service) getWave(call jobapi.Call) jobapi.Reply {
+	rep := jobapi.Reply{Outcome: jobapi.NoJob}
+	sv.Store.Read(func(rd store.Reader) {
+		if wv := rd.Waves()[call.Number]; wv != nil {
+			rep = jobapi.Reply{Outcome: jobapi.OK, Done: wv.Done()}
+		}
+	})
+	return rep
+}
--- /dev/null
+++ b/internal/job/spec/spec.go
@@ -0,0 +1,193 @@
+// Package spec holds what callers ask for when they submit a job: steps of
+// tasks with needs, order and limits. Values are not changed once made.
+//
+// Usage:
+//
+//	jb := spec.Job{ID: "5c0e7a21d94b36f8", Queue: "bookings", Steps: []spec.Step{{Count: 4, Need: need}}}
+//	err := jb.Check() // Kind KindInvalid names the first wrong field
+package spec
+
+import (
+	"fmt"
+	"time"
+
+	"greengageweir/internal/duty/fault"
+
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindInvalid says that a job cannot be accepted as it is.
+const KindInvalid Kind = "job is not valid"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// The bounds of one job. They keep a job within one entry of the log.
+const (
+	// MaxText is the length of the text that a caller hands in, in bytes.
+	MaxText = 4000
+	// MaxSteps and MaxTasks bound the book-keeping of one job.
+	MaxSteps = 256
+	MaxTasks = 10_000
+	// MaxTimes bounds the occurrences of one job.
+	MaxTimes = 10_000
+)
+
+// ID is the caller's name of a job.
+type ID = weir.JobID
+
+// Ref names one task of a job.
+type Ref = weir.TaskRef
+
+// Need is what one task needs of a worker.
+type Need struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int `json:"cpu,omitempty"`
+	MemoryMB int `json:"mem,omitempty"`
+	GPU      int `json:"gpu,omitempty"`
+}
+
+// Plus returns the sum of two needs.
+func (nd Need) Plus(other Need) Need {
+	return Need{MilliCPU: nd.MilliCPU + other.MilliCPU, MemoryMB: nd.MemoryMB + other.MemoryMB, GPU: nd.GPU + other.GPU}
+}
+
+// Minus returns the difference of two needs.
+func (nd Need) Minus(other Need) Need {
+	return Need{MilliCPU: nd.MilliCPU - other.MilliCPU, MemoryMB: nd.MemoryMB - other.MemoryMB, GPU: nd.GPU - other.GPU}
+}
+
+// Fits reports whether the need is within the room.
+func (nd Need) Fits(room Need) bool {
+	return nd.MilliCPU <= room.MilliCPU && nd.MemoryMB <= room.MemoryMB && nd.GPU <= room.GPU
+}
+
+// Step is a set of alike tasks.
+type Step struct {
+	Count int  `json:"count"`
+	Need  Need `json:"need"`
+	// Estimate is the caller's rough figure for one task's duration.
+	Estimate time.Duration `json:"estimate,omitempty"`
+	// After lists earlier steps that must be done first.
+	After []int `json:"after,omitempty"`
+	// Checkpointing tasks can resume from where they were.
+	Checkpointing bool `json:"checkpointing,omitempty"`
+	// Gang tasks run only together.
+	Gang bool `json:"gang,omitempty"`
+	// OneRack tasks are slower on more than one rack.
+	OneRack bool `json:"oneRack,omitempty"`
+	// Label is one that the worker must have.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack where the data is.
+	DataRack string `json:"dataRack,omitempty"`
+	// MaxPerWorker bounds the step's tasks on one worker; 0 is no bound.
+	MaxPerWorker int `json:"maxPerWorker,omitempty"`
+	// Copies allows a task to run more than once at a time.
+	Copies bool `json:"copies,omitempty"`
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool `json:"lasting,omitempty"`
+	// Image names the program; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// Target is the response time that a lasting task's users want.
+	Target time.Duration `json:"target,omitempty"`
+	// Filling tasks use the processor that others leave; their MilliCPU does
+	// not count against a worker.
+	Filling bool `json:"filling,omitempty"`
+	// MaxAway bounds the lasting tasks that planned work may make unavailable
+	// at a time; 0 is no bound.
+	MaxAway int `json:"maxAway,omitempty"`
+}
+
+// Counted is the need that counts against a worker's room.
+func (st Step) Counted() Need {
+	if st.Filling {
+		return Need{MemoryMB: st.Need.MemoryMB, GPU: st.Need.GPU}
+	}
+	return st.Need
+}
+
+// Job is what a caller submitted.
+type Job struct {
+	ID ID `json:"id"`
+	// Queue is the key of the queue it was submitted to.
+	Queue string `json:"queue"`
+	// Text is handed to each task as it is.
+	Text  string `json:"text"`
+	Steps []Step `json:"steps"`
+	// Times is how often the steps run; 0 means once, at once.
+	Times int `json:"times,omitempty"`
+	// StartAt is the due time of occurrence 0; Every separates them.
+	StartAt time.Time     `json:"startAt,omitzero"`
+	Every   time.Duration `json:"every,omitempty"`
+}
+
+// Occurrences returns how often the steps run, at least 1.
+func (jb Job) Occurrences() int { return max(jb.Times, 1) }
+
+// DueAt returns when an occurrence is due; the zero time is at once.
+func (jb Job) DueAt(occurrence int) time.Time {
+	if jb.Times == 0 {
+		return time.Time{}
+	}
+	return jb.StartAt.Add(time.Duration(occurrence) * jb.Every)
+}
+
+// Lasting reports whether the job runs until it is cancelled.
+func (jb Job) Lasting() bool {
+	for _, st := range jb.Steps {
+		if st.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Check reports the first thing that is wrong with the job.
+func (jb Job) Check() error {
+	if len(jb.Text) > MaxText {
+		return invalid("text has %d bytes, at most %d", len(jb.Text), MaxText)
+	}
+	if len(jb.Steps) == 0 || len(jb.Steps) > MaxSteps {
+		return invalid("%d steps, want 1 to %d", len(jb.Steps), MaxSteps)
+	}
+	if jb.Times < 0 || jb.Times > MaxTimes || jb.Every < 0 {
+		return invalid("%d occurrences each %s", jb.Times, jb.Every)
+	}
+	tasks := 0
+	for ix, st := range jb.Steps {
+		if err := st.check(ix); err != nil {
+			return err
+		}
+		tasks += st.Count
+	}
+	if tasks > MaxTasks {
+		return invalid("%d tasks, at most %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (st Step) check(ix int) error {
+	switch {
+	case st.Count < 1:
+		return invalid("step %d has %d tasks", ix, st.Count)
+	case st.Need.MilliCPU < 0 || st.Need.MemoryMB < 0 || st.Need.GPU < 0:
+		return invalid("step %d has a negative need", ix)
+	case st.MaxPerWorker < 0 || st.MaxAway < 0:
+		return invalid("step %d has a negative limit", ix)
+	}
+	for _, before := range st.After {
+		if before < 0 || before >= ix {
+			return invalid("step %d is after step %d, which is not an earlier one", ix, before)
+		}
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) error {
+	return &Error{Op: "check job", Kind: KindInvalid, Err: errors.New(fmt.Sprintf(format, args...))}
+}
--- /dev/null
+++ b/internal/job/store/change.go
@@ -0,0 +1,125 @@
+package store
+
+import (
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+// Entry is one record of the replicated log: changes that are applied in
+// order, in one step.
+type Entry struct {
+	// At is the proposing leader's time of day.
+	At      time.Time `json:"at"`
+	Changes []Change  `json:"c"`
+}
+
+// Change is one change; exactly one field is set.
+type Change struct {
+	Catalog *catalog.Catalog  `json:"cat,omitempty"`
+	Submit  *spec.Job         `json:"sub,omitempty"`
+	Cancel  *spec.ID          `json:"can,omitempty"`
+	Join    *Worker           `json:"join,omitempty"`
+	Leave   *Leave            `json:"leave,omitempty"`
+	Start   *Start            `json:"st,omitempty"`
+	End     *End              `json:"end,omitempty"`
+	Forget  []spec.ID         `json:"forget,omitempty"`
+	Wave    *Wave             `json:"wave,omitempty"`
+	Machine *MachineOperation `json:"mach,omitempty"`
+}
+
+// Worker is one life of an instance that runs tasks.
+type Worker struct {
+	ID weir.InstanceID `json:"id"`
+	// Born tells the lives of one id apart: the time of the life's start in
+	// milliseconds since 1970.
+	Born    int64         `json:"born"`
+	Machine string        `json:"machine,omitempty"`
+	Pool    weir.PoolName `json:"pool"`
+	Address string        `json:"addr"`
+	Zone    weir.Zone     `json:"zone"`
+	Kind    string        `json:"kind,omitempty"`
+	Rack    string        `json:"rack,omitempty"`
+	Room    spec.Need     `json:"room"`
+	// Draining workers get no new tasks.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// Leave ends one life of a worker: nothing runs there any more.
+type Leave struct {
+	ID     weir.InstanceID `json:"id"`
+	Born   int64           `json:"born"`
+	Reason string          `json:"why"`
+}
+
+// Start is the intent to start a run. It is committed before the order is
+// sent, so that every later leader knows where a run may be.
+type Start struct {
+	Task   spec.Ref        `json:"t"`
+	Run    int             `json:"r"`
+	Worker weir.InstanceID `json:"w"`
+	Born   int64           `json:"b"`
+}
+
+// How tells how a run ended.
+type How string
+
+// The ways a run ends.
+const (
+	EndDone   How = "done"
+	EndFailed How = "failed"
+	// EndStopped, EndLapsed, EndBroken and EndAlone are a worker's words for
+	// runs that ended through no fault of the task.
+	EndStopped How = "stopped"
+	EndLapsed  How = "lapsed"
+	EndBroken  How = "broken"
+	EndAlone   How = "alone"
+	// EndLost says that the run is surely over and has left no end.
+	EndLost How = "lost"
+	// EndRefused says that the worker refused to start it.
+	EndRefused How = "refused"
+)
+
+// End is the end of one run.
+type End struct {
+	Task       spec.Ref `json:"t"`
+	Run        int      `json:"r"`
+	How        How      `json:"h"`
+	Checkpoint string   `json:"cp,omitempty"`
+}
+
+// Wave asks for the maintenance of machines.
+type Wave struct {
+	Number   int64     `json:"number"`
+	Machines []string  `json:"machines"`
+	Deadline time.Time `json:"deadline"`
+	// AtOnce bounds the machines that are away at a time.
+	AtOnce int `json:"atOnce"`
+	// Begun holds the machines whose maintenance has begun.
+	Begun map[string]bool `json:"begun,omitempty"`
+}
+
+// Done reports whether each machine's maintenance has begun.
+func (wv Wave) Done() bool {
+	for _, mc := range wv.Machines {
+		if !wv.Begun[mc] {
+			return false
+		}
+	}
+	return true
+}
+
+// MachineOperation records that an operation on a machine was ordered, or
+// that it has begun.
+type MachineOperation struct {
+	Machine string `json:"machine"`
+	// Wave is set for maintenance, Pool for a move.
+	Wave  int64         `json:"wave,omitempty"`
+	Pool  weir.PoolName `json:"pool,omitempty"`
+	Begun bool          `json:"begun,omitempty"`
+	// Void says that the platform certainly did not and will not do it.
+	Void bool `json:"void,omitempty"`
+}
--- /dev/null
+++ b/internal/job/store/reader.go
@@ -0,0 +1,79 @@
+package store
+
+import (
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+// Index is the last entry that the state holds.
+func (rd Reader) Index() uint64 { return rd.st.Index }
+
+// Catalog is the configuration in force.
+func (rd Reader) Catalog() catalog.Catalog { return rd.st.Catalog }
+
+// Job returns a job, nil where it is not known. It must not be changed, nor
+// kept beyond the read.
+func (rd Reader) Job(id spec.ID) *JobState { return rd.st.Jobs[id] }
+
+// Jobs counts the known jobs.
+func (rd Reader) Jobs() int { return len(rd.st.Jobs) }
+
+// EachActive calls a function for each job that has tasks to run or runs that
+// may be at workers.
+func (rd Reader) EachActive(do func(js *JobState)) {
+	for id := range rd.st.Active {
+		do(rd.st.Jobs[id])
+	}
+}
+
+// Pending counts the jobs of a queue that have not begun.
+func (rd Reader) Pending(queue string) int { return len(rd.st.ByQueue[queue]) }
+
+// Worker returns a worker.
+func (rd Reader) Worker(id weir.InstanceID) (Worker, bool) {
+	wk, ok := rd.st.Workers[id]
+	if !ok {
+		return Worker{}, false
+	}
+	return *wk, true
+}
+
+// EachWorker calls a function for each worker.
+func (rd Reader) EachWorker(do func(wk Worker)) {
+	for _, wk := range rd.st.Workers {
+		do(*wk)
+	}
+}
+
+// Runs returns the runs that may be at a worker, with what they count.
+func (rd Reader) Runs(id weir.InstanceID) map[RunKey]spec.Need { return rd.st.Runs[id] }
+
+// Waves returns the maintenance waves; they must not be changed.
+func (rd Reader) Waves() map[int64]*Wave { return rd.st.Waves }
+
+// Order returns the operation under way on a machine.
+func (rd Reader) Order(machine string) (MachineOperation, bool) {
+	op, ok := rd.st.Orders[machine]
+	if !ok {
+		return MachineOperation{}, false
+	}
+	return *op, true
+}
+
+// Expired returns jobs that ended before a time, at most limit of them.
+func (rd Reader) Expired(before time.Time, limit int) []spec.ID {
+	var ids []spec.ID
+	for id, js := range rd.st.Jobs {
+		if js.Phase.Over() && js.Placed == 0 && js.Ended.Before(before) {
+			ids = append(ids, id)
+			if len(ids) == limit {
+				break
+			}
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/job/store/state.go
@@ -0,0 +1,165 @@
+package store
+
+import (
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+// Phase is where a job is in its life.
+type Phase string
+
+// The phases of a job.
+const (
+	Queued    Phase = "queued"
+	Running   Phase = "running"
+	Done      Phase = "done"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Over reports whether the job has ended.
+func (ph Phase) Over() bool { return ph == Done || ph == Failed || ph == Cancelled }
+
+// Task is what is known of one task.
+type Task struct {
+	// Run is the number of the latest run, 0 before the first.
+	Run int `json:"r,omitempty"`
+	// Worker and Born name where the run is, while it is not over.
+	Worker weir.InstanceID `json:"w,omitempty"`
+	Born   int64           `json:"b,omitempty"`
+	Done   bool            `json:"d,omitempty"`
+	// Failures counts the runs that ended as failed.
+	Failures int `json:"f,omitempty"`
+	// Checkpoint is where the next run resumes.
+	Checkpoint string `json:"cp,omitempty"`
+	// StartedAt is when the latest run was ordered, EndedAt when it ended.
+	StartedAt time.Time `json:"sa,omitzero"`
+	EndedAt   time.Time `json:"ea,omitzero"`
+}
+
+// Placed reports whether a run of the task may be at a worker.
+func (tk *Task) Placed() bool { return tk.Worker != "" }
+
+// StepState holds the tasks of one step of one occurrence.
+type StepState struct {
+	Tasks []Task `json:"t"`
+	// Left counts the tasks that are not done.
+	Left int `json:"l"`
+}
+
+// JobState is what is known of one job.
+type JobState struct {
+	Spec     spec.Job  `json:"spec"`
+	Accepted time.Time `json:"at"`
+	Phase    Phase     `json:"phase"`
+	// Begun says that a run of some task was ordered.
+	Begun bool `json:"begun,omitempty"`
+	// Rounds holds the steps of each occurrence; nil when it is over.
+	Rounds [][]StepState `json:"rounds,omitempty"`
+	// RoundsLeft counts the occurrences that are not done.
+	RoundsLeft int       `json:"left"`
+	Ended      time.Time `json:"ended,omitzero"`
+	// Placed counts the runs that may be at workers.
+	Placed int `json:"placed,omitempty"`
+}
+
+// Task returns a task, nil where there is none.
+func (js *JobState) Task(rf spec.Ref) *Task {
+	if rf.Occurrence >= len(js.Rounds) || rf.Step >= len(js.Spec.Steps) || js.Rounds[rf.Occurrence] == nil {
+		return nil
+	}
+	st := &js.Rounds[rf.Occurrence][rf.Step]
+	if rf.Index < 0 || rf.Index >= len(st.Tasks) {
+		return nil
+	}
+	return &st.Tasks[rf.Index]
+}
+
+// StepReady reports whether all steps before a step are done.
+func (js *JobState) StepReady(occurrence, step int) bool {
+	for _, before := range js.Spec.Steps[step].After {
+		if js.Rounds[occurrence][before].Left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// state is the whole replicated state.
+type state struct {
+	Index   uint64                                   `json:"index"`
+	Catalog catalog.Catalog                          `json:"catalog"`
+	Jobs    map[spec.ID]*JobState                    `json:"jobs"`
+	Workers map[weir.InstanceID]*Worker              `json:"workers"`
+	Waves   map[int64]*Wave                          `json:"waves"`
+	Orders  map[string]*MachineOperation             `json:"orders"`
+	Active  map[spec.ID]bool                         `json:"-"`
+	ByQueue map[string]map[spec.ID]bool              `json:"-"`
+	Runs    map[weir.InstanceID]map[RunKey]spec.Need `json:"-"`
+}
+
+// RunKey names one run of one task.
+type RunKey = weir.RunKey
+
+func newState() *state {
+	st := &state{
+		Jobs: map[spec.ID]*JobState{}, Workers: map[weir.InstanceID]*Worker{},
+		Waves: map[int64]*Wave{}, Orders: map[string]*MachineOperation{},
+	}
+	st.index()
+	return st
+}
+
+// index rebuilds what follows from the rest.
+func (st *state) index() {
+	st.Active = map[spec.ID]bool{}
+	st.ByQueue = map[string]map[spec.ID]bool{}
+	st.Runs = map[weir.InstanceID]map[RunKey]spec.Need{}
+	for id, js := range st.Jobs {
+		if js.Rounds != nil {
+			st.Active[id] = true
+		}
+		st.addToQueue(js)
+		for oc, round := range js.Rounds {
+			for sp := range round {
+				for ix := range round[sp].Tasks {
+					tk := &round[sp].Tasks[ix]
+					if tk.Placed() {
+						st.addRun(js, spec.Ref{Job: id, Occurrence: oc, Step: sp, Index: ix}, tk)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (st *state) addToQueue(js *JobState) {
+	if js.Begun || js.Phase.Over() {
+		return
+	}
+	jobs := st.ByQueue[js.Spec.Queue]
+	if jobs == nil {
+		jobs = map[spec.ID]bool{}
+		st.ByQueue[js.Spec.Queue] = jobs
+	}
+	jobs[js.Spec.ID] = true
+}
+
+func (st *state) leaveQueue(js *JobState) { delete(st.ByQueue[js.Spec.Queue], js.Spec.ID) }
+
+func (st *state) addRun(js *JobState, rf spec.Ref, tk *Task) {
+	runs := st.Runs[tk.Worker]
+	if runs == nil {
+		runs = map[RunKey]spec.Need{}
+		st.Runs[tk.Worker] = runs
+	}
+	runs[RunKey{Task: rf, Run: tk.Run}] = js.Spec.Steps[rf.Step].Counted()
+}
+
+func (st *state) dropRun(rf spec.Ref, tk *Task) {
+	delete(st.Runs[tk.Worker], RunKey{Task: rf, Run: tk.Run})
+}
--- /dev/null
+++ b/internal/job/store/store.go
@@ -0,0 +1,305 @@
+// Package store is the replicated state of jobs, workers, configuration and
+// maintenance. It is a state machine of the replicated log: the same entries
+// give the same state on every member. It decides nothing about placing; it
+// refuses what would break a promise, such as a second run of a task.
+//
+// Usage:
+//
+//	st := store.New()
+//	nd := &node.Node{Machine: st, ...}
+//	data, err := store.Entry{At: now, Changes: changes}.Encode()
+//	answers, err := nd.Propose(ctx, data)       // one Answer for each change
+//	st.Read(func(rd store.Reader) { ... })      // consistent, must not block
+package store
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/duty/invariant"
+	"greengageweir/internal/job/spec"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindFormat says that an entry or a snapshot cannot be read or written.
+const KindFormat Kind = "unreadable"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// Answer is what became of one change.
+type Answer struct {
+	// Taken says that the state now holds the change.
+	Taken bool
+	// Reason tells why it was not taken.
+	Reason string
+}
+
+var taken = Answer{Taken: true}
+
+func refused(reason string) Answer { return Answer{Reason: reason} }
+
+// Store is the state machine. It is safe for concurrent use.
+type Store struct {
+	mu sync.RWMutex
+	st *state
+	// Applied is called after each entry, outside the lock; it may be nil.
+	Applied func()
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{st: newState()} }
+
+// Encode returns the entry as the log keeps it.
+func (en Entry) Encode() ([]byte, error) {
+	data, err := json.Marshal(en)
+	if err != nil {
+		return nil, &Error{Op: "encode entry", Kind: KindFormat, Err: err}
+	}
+	return data, nil
+}
+
+// Apply implements node.Machine; it returns an []Answer.
+func (sr *Store) Apply(index uint64, data []byte) any {
+	var en Entry
+	if err := json.Unmarshal(data, &en); err != nil {
+		invariant.Check(false, "entryReadable", "index", index, "err", err)
+		sr.Skip(index)
+		return []Answer(nil)
+	}
+	answers := make([]Answer, len(en.Changes))
+	sr.mu.Lock()
+	sr.st.Index = index
+	for ix := range en.Changes {
+		answers[ix] = sr.st.apply(en.At, &en.Changes[ix])
+	}
+	sr.mu.Unlock()
+	if sr.Applied != nil {
+		sr.Applied()
+	}
+	return answers
+}
+
+// Skip implements node.Machine.
+func (sr *Store) Skip(index uint64) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.st.Index = index
+}
+
+// Snapshot implements node.Machine.
+func (sr *Store) Snapshot() ([]byte, error) {
+	sr.mu.RLock()
+	defer sr.mu.RUnlock()
+	data, err := json.Marshal(sr.st)
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: KindFormat, Err: err}
+	}
+	return data, nil
+}
+
+// Restore implements node.Machine.
+func (sr *Store) Restore(index uint64, data []byte) error {
+	st := newState()
+	if err := json.Unmarshal(data, st); err != nil {
+		return &Error{Op: "restore", Kind: KindFormat, Err: err}
+	}
+	st.Index = index
+	st.index()
+	sr.mu.Lock()
+	sr.st = st
+	sr.mu.Unlock()
+	if sr.Applied != nil {
+		sr.Applied()
+	}
+	return nil
+}
+
+func (st *state) apply(at time.Time, ch *Change) Answer {
+	switch {
+	case ch.Catalog != nil:
+		return st.applyCatalog(ch.Catalog)
+	case ch.Submit != nil:
+		return st.applySubmit(at, ch.Submit)
+	case ch.Cancel != nil:
+		return st.applyCancel(at, *ch.Cancel)
+	case ch.Join != nil:
+		return st.applyJoin(at, ch.Join)
+	case ch.Leave != nil:
+		return st.applyLeave(at, ch.Leave)
+	case ch.Start != nil:
+		return st.applyStart(at, ch.Start)
+	case ch.End != nil:
+		return st.applyEnd(at, ch.End)
+	case ch.Forget != nil:
+		return st.applyForget(ch.Forget)
+	case ch.Wave != nil:
+		return st.applyWave(ch.Wave)
+	case ch.Machine != nil:
+		return st.applyMachine(ch.Machine)
+	}
+	return refused("empty change")
+}
+
+// applyCatalog keeps the highest version; an older one changes nothing.
+func (st *state) applyCatalog(ct *catalog.Catalog) Answer {
+	if ct.Version <= st.Catalog.Version {
+		return refused("version is not newer")
+	}
+	st.Catalog = *ct
+	return taken
+}
+
+func (st *state) applySubmit(at time.Time, jb *spec.Job) Answer {
+	if st.Jobs[jb.ID] != nil {
+		return Answer{Taken: true, Reason: "known"}
+	}
+	js := &JobState{Spec: *jb, Accepted: at, Phase: Queued, RoundsLeft: jb.Occurrences()}
+	js.Rounds = make([][]StepState, jb.Occurrences())
+	for oc := range js.Rounds {
+		js.Rounds[oc] = make([]StepState, len(jb.Steps))
+		for sp, step := range jb.Steps {
+			js.Rounds[oc][sp] = StepState{Tasks: make([]Task, step.Count), Left: step.Count}
+		}
+	}
+	st.Jobs[jb.ID] = js
+	st.Active[jb.ID] = true
+	st.addToQueue(js)
+	return taken
+}
+
+func (st *state) applyCancel(at time.Time, id spec.ID) Answer {
+	js := st.Jobs[id]
+	if js == nil {
+		return refused("unknown job")
+	}
+	if !js.Phase.Over() {
+		st.end(at, js, Cancelled)
+	}
+	return taken
+}
+
+// end closes a job; runs that may be at workers stay known until they are over.
+func (st *state) end(at time.Time, js *JobState, ph Phase) {
+	js.Phase = ph
+	js.Ended = at
+	st.leaveQueue(js)
+	st.settle(js)
+}
+
+// settle drops what is not needed once a job has ended and nothing of it is
+// at a worker.
+func (st *state) settle(js *JobState) {
+	if !js.Phase.Over() || js.Placed > 0 {
+		return
+	}
+	js.Rounds = nil
+	js.Spec.Text = ""
+	js.Spec.Steps = nil
+	delete(st.Active, js.Spec.ID)
+}
+
+func (st *state) applyForget(ids []spec.ID) Answer {
+	for _, id := range ids {
+		if js := st.Jobs[id]; js != nil && js.Phase.Over() && js.Placed == 0 {
+			delete(st.Jobs, id)
+		}
+	}
+	return taken
+}
+
+func (st *state) applyStart(at time.Time, sa *Start) Answer {
+	js := st.Jobs[sa.Task.Job]
+	if js == nil || js.Phase.Over() {
+		return refused("job is over")
+	}
+	tk := js.Task(sa.Task)
+	wk := st.Workers[sa.Worker]
+	switch {
+	case tk == nil:
+		return refused("no such task")
+	case tk.Done || tk.Run != sa.Run-1:
+		return refused("not the next run")
+	case tk.Placed() && !js.Spec.Steps[sa.Task.Step].Copies:
+		return refused("a run is not over")
+	case tk.Placed():
+		return refused("copies are not placed")
+	case wk == nil || wk.Born != sa.Born:
+		return refused("worker is gone")
+	case wk.Draining:
+		return refused("worker drains")
+	case !js.StepReady(sa.Task.Occurrence, sa.Task.Step):
+		return refused("an earlier step is not done")
+	}
+	tk.Run, tk.Worker, tk.Born, tk.StartedAt = sa.Run, sa.Worker, sa.Born, at
+	js.Placed++
+	st.addRun(js, sa.Task, tk)
+	if !js.Begun {
+		st.leaveQueue(js)
+		js.Begun = true
+		js.Phase = Running
+	}
+	return taken
+}
+
+func (st *state) applyEnd(at time.Time, en *End) Answer {
+	js := st.Jobs[en.Task.Job]
+	if js == nil || js.Rounds == nil {
+		return refused("job is over")
+	}
+	tk := js.Task(en.Task)
+	if tk == nil || tk.Run != en.Run || !tk.Placed() {
+		return refused("not the present run")
+	}
+	st.free(at, js, en.Task, tk)
+	if en.Checkpoint != "" {
+		tk.Checkpoint = en.Checkpoint
+	}
+	step := js.Spec.Steps[en.Task.Step]
+	switch {
+	case en.How == EndDone && !step.Lasting:
+		st.taskDone(at, js, en.Task, tk, step)
+	case en.How == EndFailed && !step.Lasting:
+		tk.Failures++
+		if qu, ok := st.Catalog.ByKey(js.Spec.Queue); ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Over() {
+			st.end(at, js, Failed)
+		}
+	}
+	st.settle(js)
+	return taken
+}
+
+func (st *state) free(at time.Time, js *JobState, rf spec.Ref, tk *Task) {
+	st.dropRun(rf, tk)
+	tk.Worker, tk.Born, tk.EndedAt = "", 0, at
+	js.Placed--
+}
+
+func (st *state) taskDone(at time.Time, js *JobState, rf spec.Ref, tk *Task, step spec.Step) {
+	ss := &js.Rounds[rf.Occurrence][rf.Step]
+	if step.Gang {
+		// One end stands for all members; those still listed end by themselves.
+		for ix := range ss.Tasks {
+			ss.Tasks[ix].Done = true
+		}
+		ss.Left = 0
+	} else if !tk.Done {
+		tk.Done = true
+		tk.Checkpoint = ""
+		ss.Left--
+	}
+	for _, other := range js.Rounds[rf.Occurrence] {
+		if other.Left > 0 {
+			return
+		}
+	}
+	js.RoundsLeft--
+	if js.RoundsLeft == 0 && !js.Phase.Over() {
+		st.end(at, js, Done)
+	}
+}
--- /dev/null
+++ b/internal/job/store/workers.go
@@ -0,0 +1,101 @@
+package store
+
+import (
+	"time"
+)
+
+// applyJoin records a worker. A later life of the same id, or on the same
+// machine or address, ends the earlier one; what ran there is then uncertain
+// only where the id is the same, and the leader asks the new life about it.
+func (st *state) applyJoin(at time.Time, wk *Worker) Answer {
+	old := st.Workers[wk.ID]
+	if old != nil && old.Born > wk.Born {
+		return refused("an earlier life")
+	}
+	for id, other := range st.Workers {
+		same := other.Address == wk.Address || (wk.Machine != "" && other.Machine == wk.Machine)
+		if id == wk.ID || !same {
+			continue
+		}
+		if other.Born > wk.Born {
+			return refused("another worker has its place")
+		}
+		st.endLife(at, other)
+	}
+	if old != nil && old.Born != wk.Born {
+		st.moveRuns(old, wk)
+	}
+	fresh := *wk
+	st.Workers[wk.ID] = &fresh
+	return taken
+}
+
+// moveRuns ties the runs of an earlier life to the new life of the same id,
+// since an order that was under way may reach the new life.
+func (st *state) moveRuns(old, wk *Worker) {
+	for key := range st.Runs[old.ID] {
+		if tk := st.Jobs[key.Task.Job].Task(key.Task); tk != nil {
+			tk.Born = wk.Born
+		}
+	}
+}
+
+func (st *state) applyLeave(at time.Time, lv *Leave) Answer {
+	wk := st.Workers[lv.ID]
+	if wk == nil || wk.Born != lv.Born {
+		return refused("not the present life")
+	}
+	st.endLife(at, wk)
+	return taken
+}
+
+// endLife drops a worker; its runs are over.
+func (st *state) endLife(at time.Time, wk *Worker) {
+	keys := make([]RunKey, 0, len(st.Runs[wk.ID]))
+	for key := range st.Runs[wk.ID] {
+		keys = append(keys, key)
+	}
+	for _, key := range keys {
+		st.applyEnd(at, &End{Task: key.Task, Run: key.Run, How: EndLost})
+	}
+	delete(st.Workers, wk.ID)
+	delete(st.Runs, wk.ID)
+}
+
+func (st *state) applyWave(wv *Wave) Answer {
+	if st.Waves[wv.Number] != nil {
+		return Answer{Taken: true, Reason: "known"}
+	}
+	fresh := *wv
+	fresh.Begun = map[string]bool{}
+	st.Waves[wv.Number] = &fresh
+	return taken
+}
+
+func (st *state) applyMachine(op *MachineOperation) Answer {
+	if !op.Begun && !op.Void {
+		if st.Orders[op.Machine] != nil {
+			return refused("an operation is under way")
+		}
+		fresh := *op
+		st.Orders[op.Machine] = &fresh
+		return taken
+	}
+	delete(st.Orders, op.Machine)
+	// A machine that the platform does not know, or not as part of the wave,
+	// holds the wave up no longer.
+	if wv := st.Waves[op.Wave]; wv != nil {
+		wv.Begun[op.Machine] = true
+	}
+	return taken
+}
+
+// Reader reads one consistent state, for the time of Store.Read.
+type Reader struct{ st *state }
+
+// Read calls a function with the present state; it must not block.
+func (sr *Store) Read(read func(rd Reader)) {
+	sr.mu.RLock()
+	defer sr.mu.RUnlock()
+	read(Reader{st: sr.st})
+}
--- /dev/null
+++ b/internal/schedule/plan/plan.go
@@ -0,0 +1,246 @@
+// Package plan decides which task goes to which worker. It is a pure function
+// of what is ready, what is free and the time; nothing is remembered between
+// calls.
+//
+// The load it answers: queues whose demand rises by turns to several times
+// what their pool holds, jobs of steps that are many tasks wide, and tasks
+// that last and must not share a worker with others of their step.
+//
+// Usage:
+//
+//	for _, pl := range plan.Place(now, groups, workers) { ... }
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+// Task is one task of a group that may start.
+type Task struct {
+	Index      int
+	Run        int
+	Checkpoint string
+	// Avoid names a worker on which it ended badly last; it may be empty.
+	Avoid weir.InstanceID
+}
+
+// Group is the tasks of one step of one occurrence that may start now.
+type Group struct {
+	Step  weir.TaskRef // names the step
+	Spec  spec.Step
+	Pool  weir.PoolName
+	Tasks []Task
+	// Priority 0 goes first.
+	Priority int
+	// StartBy is when the step has to start for the job to meet its objective.
+	StartBy time.Time
+	// On counts the step's runs at each worker.
+	On map[weir.InstanceID]int
+}
+
+// Worker is a worker that may take tasks.
+type Worker struct {
+	ID   weir.InstanceID
+	Born int64
+	Pool weir.PoolName
+	Kind string
+	Rack string
+	// Free is the room that no run takes.
+	Free spec.Need
+	// Serving and Filling count the lasting tasks with a response time to
+	// keep, and those that use what others leave.
+	Serving int
+	Filling int
+	// Suspect workers are used only where there is no other.
+	Suspect bool
+}
+
+// Placement is one start.
+type Placement struct {
+	Task   weir.TaskRef
+	Run    int
+	Worker weir.InstanceID
+	Born   int64
+}
+
+// Place returns the starts that are possible now, most urgent groups first.
+func Place(now time.Time, groups []Group, workers []Worker) []Placement {
+	ordered := slices.Clone(groups)
+	slices.SortStableFunc(ordered, func(one, other Group) int {
+		return cmp.Or(
+			cmp.Compare(one.class(now), other.class(now)),
+			one.StartBy.Compare(other.StartBy),
+			cmp.Compare(one.Step.Job, other.Step.Job),
+			cmp.Compare(one.Step.Step, other.Step.Step),
+		)
+	})
+	byPool := map[weir.PoolName][]*Worker{}
+	for ix := range workers {
+		wk := workers[ix]
+		byPool[wk.Pool] = append(byPool[wk.Pool], &wk)
+	}
+	var out []Placement
+	for _, gr := range ordered {
+		out = append(out, place(gr, byPool[gr.Pool])...)
+	}
+	return out
+}
+
+// class orders groups before their times: lasting tasks serve users already,
+// and a job that has missed its objective must not make others miss theirs.
+func (gr Group) class(now time.Time) int {
+	switch {
+	case gr.Spec.Lasting && !gr.Spec.Filling:
+		return 0
+	case gr.Spec.Lasting:
+		return 1
+	case !gr.StartBy.Before(now):
+		return 2 + gr.Priority
+	default:
+		return 1000 + gr.Priority
+	}
+}
+
+func place(gr Group, workers []*Worker) []Placement {
+	before := make([]Worker, len(workers))
+	for ix, wk := range workers {
+		before[ix] = *wk
+	}
+	on := make(map[weir.InstanceID]int, len(gr.On))
+	for id, count := range gr.On {
+		on[id] = count
+	}
+	rack := chooseRack(gr, workers)
+	var out []Placement
+	for _, tk := range gr.Tasks {
+		wk := choose(gr, tk, on, rack, workers)
+		if wk == nil {
+			break
+		}
+		wk.take(gr.Spec)
+		on[wk.ID]++
+		out = append(out, Placement{Task: gr.ref(tk), Run: tk.Run, Worker: wk.ID, Born: wk.Born})
+	}
+	if gr.Spec.Gang && len(out) < len(gr.Tasks) {
+		for ix, wk := range workers {
+			*wk = before[ix]
+		}
+		return nil
+	}
+	return out
+}
+
+func (gr Group) ref(tk Task) weir.TaskRef {
+	rf := gr.Step
+	rf.Index = tk.Index
+	return rf
+}
+
+func (wk *Worker) take(st spec.Step) {
+	wk.Free = wk.Free.Minus(st.Counted())
+	switch {
+	case st.Filling:
+		wk.Filling++
+	case st.Lasting && st.Target > 0:
+		wk.Serving++
+	}
+}
+
+// chooseRack returns the rack that the whole group should be on, or "".
+func chooseRack(gr Group, workers []*Worker) string {
+	if gr.Spec.DataRack != "" {
+		return gr.Spec.DataRack
+	}
+	if !gr.Spec.OneRack {
+		return ""
+	}
+	fits := map[string]int{}
+	for _, wk := range workers {
+		if wk.accepts(gr, nil) {
+			fits[wk.Rack] += wk.holds(gr.Spec)
+		}
+	}
+	best := ""
+	for rack, count := range fits {
+		if best == "" || count > fits[best] || (count == fits[best] && rack < best) {
+			best = rack
+		}
+	}
+	return best
+}
+
+// holds counts how many more tasks of a step fit.
+func (wk *Worker) holds(st spec.Step) int {
+	need, room, count := st.Counted(), wk.Free, 0
+	for need.Fits(room) && count < st.Count {
+		room = room.Minus(need)
+		count++
+	}
+	return count
+}
+
+func (wk *Worker) accepts(gr Group, on map[weir.InstanceID]int) bool {
+	st := gr.Spec
+	if st.Label != "" && st.Label != wk.Kind && st.Label != wk.Rack {
+		return false
+	}
+	if st.MaxPerWorker > 0 && on[wk.ID] >= st.MaxPerWorker {
+		return false
+	}
+	return st.Counted().Fits(wk.Free)
+}
+
+// choose returns the best worker for a task, nil where there is none.
+func choose(gr Group, tk Task, on map[weir.InstanceID]int, rack string, workers []*Worker) *Worker {
+	var best *Worker
+	for _, wk := range workers {
+		if !wk.accepts(gr, on) {
+			continue
+		}
+		if best == nil || better(gr, tk, rack, wk, best) {
+			best = wk
+		}
+	}
+	return best
+}
+
+// better reports whether one worker is a better place than another.
+func better(gr Group, tk Task, rack string, one, other *Worker) bool {
+	order := cmp.Or(
+		compareBool(one.Suspect || one.ID == tk.Avoid, other.Suspect || other.ID == tk.Avoid),
+		compareBool(rack != "" && one.Rack != rack, rack != "" && other.Rack != rack),
+		gr.disturbance(one, other),
+		// The most room first spreads a job, so that the loss of one worker
+		// takes little of it.
+		cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU),
+		cmp.Compare(one.ID, other.ID),
+	)
+	return order < 0
+}
+
+// disturbance keeps tasks that fill away from tasks that serve.
+func (gr Group) disturbance(one, other *Worker) int {
+	switch {
+	case gr.Spec.Filling:
+		return cmp.Or(cmp.Compare(one.Serving, other.Serving), cmp.Compare(one.Filling, other.Filling))
+	case gr.Spec.Lasting && gr.Spec.Target > 0:
+		return cmp.Or(cmp.Compare(one.Filling, other.Filling), cmp.Compare(one.Serving, other.Serving))
+	}
+	return 0
+}
+
+func compareBool(one, other bool) int {
+	switch {
+	case one == other:
+		return 0
+	case other:
+		return -1
+	}
+	return 1
+}
--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -92,6 +92,8 @@
 
 	mu     sync.Mutex
 	status replica.Status
+	// sureUntil is the time until which no other leader can be elected.
+	sureUntil time.Time
 }
 
 type proposal struct {
@@ -335,6 +337,7 @@
 	nd.mu.Lock()
 	changed := st.Role != nd.status.Role || st.Term != nd.status.Term || st.Learner != nd.status.Learner
 	nd.status = st
+	nd.sureUntil = nd.core.LeadsUntil()
 	nd.mu.Unlock()
 	if changed {
 		_ = nd.Logger.Log("level", "info", "msg", "role", "raftRole", string(st.Role), "term", st.Term,
@@ -349,6 +352,31 @@
 	return nd.status
 }
 
+// Term returns the term that this member leads, 0 while it does not lead.
+func (nd *Node) Term() uint64 {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.status.Role != replica.Leader {
+		return 0
+	}
+	return nd.status.Term
+}
+
+// Leads reports whether this member leads, and for sure at this moment: it
+// reads the clock, since the member may have stood still.
+func (nd *Node) Leads() bool {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.status.Role == replica.Leader && nd.Clock.Now().Before(nd.sureUntil)
+}
+
+// LeaderID returns the member that leads, "" where none is known.
+func (nd *Node) LeaderID() string {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.status.Leader
+}
+
 // Deliver takes a message from the transport; it drops it when too many wait,
 // which the algorithm allows.
 func (nd *Node) Deliver(msg replica.Message) {
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand"
+	"slices"
 	"time"
 
 	"greengageweir/internal/duty/invariant"
@@ -139,6 +140,33 @@
 	return heard >= co.quorum()
 }
 
+// leadMargin is taken off the time for which a leader is sure to lead: replies
+// are counted on arrival, and voters count from the message they answer.
+const leadMargin = 100 * time.Millisecond
+
+// LeadsUntil returns the time until which no other leader can have been
+// elected, going by the replies of a majority; zero where it does not lead.
+func (co *Core) LeadsUntil() time.Time {
+	if co.role != Leader {
+		return time.Time{}
+	}
+	heard := make([]time.Time, 0, len(co.progress))
+	for id, pr := range co.progress {
+		if co.isMember(id) && !pr.learner {
+			heard = append(heard, pr.heard)
+		}
+	}
+	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
+	need := co.quorum() - 1
+	switch {
+	case need == 0:
+		return co.nextBeat.Add(co.Election - leadMargin)
+	case len(heard) < need:
+		return time.Time{}
+	}
+	return heard[need-1].Add(co.Election - leadMargin)
+}
+
 // Propose appends a command to the leader's log and returns its place.
 func (co *Core) Propose(data []byte) (index, term uint64, err error) {
 	return co.propose(EntryCommand, data)
--- /dev/null
+++ b/internal/task/session/session.go
@@ -0,0 +1,575 @@
+// Package session is a leader's dealing with one life of a worker: it renews
+// the worker's lease, sends orders, takes the list of ends, and finds out what
+// became of runs whose orders were not answered.
+//
+// A run is over for the session only if the worker listed its end, refused
+// its start, or was told to stop it and then no longer listed it. An order
+// without an answer may be carried out seconds later, so such a run is stopped
+// by its number first: the worker then refuses it for good.
+//
+// Usage:
+//
+//	ss := &session.Session{Life: life, Token: term, Workers: calls, ...}
+//	go ss.Run(ctx)
+//	ss.Start(order)
+//	ends := ss.Reconcile(now, placed) // to be committed, then
+//	ss.Recorded(number)
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengageweir/internal/job/store"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+)
+
+const (
+	// orderTimeout is how long an order waits for its answer: many times a
+	// round trip, well under the shortest objective of a job.
+	orderTimeout = 400 * time.Millisecond
+	// renewWait is how long a renewal may wait at the worker for an end; with
+	// it a lease is renewed four times over in its length.
+	renewWait = time.Second
+	// renewGrace is how much later than renewWait a renewal's answer may come.
+	renewGrace = 700 * time.Millisecond
+	// retryPause separates renewals that fail.
+	retryPause = 150 * time.Millisecond
+	// stopAgain is when a stop that has shown no effect is sent again.
+	stopAgain = 500 * time.Millisecond
+	// recordWait bounds how long the next renewal waits for ends to be
+	// recorded; after it the lease goes first.
+	recordWait = 300 * time.Millisecond
+	// clockSlack is how slow a worker's clock may be (2 %).
+	clockSlack = 0.98
+	// lapseMargin covers rounding and the worker's own reaction.
+	lapseMargin = 100 * time.Millisecond
+	// maxEnds is the length of a full list of ends; behind it there may be
+	// ends that are not listed yet.
+	maxEnds = 500
+	// fullWork is the percent of a lasting task that is at work.
+	fullWork = 100
+	// senders is how many orders to one worker are under way at a time.
+	senders = 3
+	// orderSlots bounds the orders that wait; a worker holds far fewer tasks.
+	orderSlots = 1024
+)
+
+// run is what the session knows of one run.
+type run struct {
+	// sentAt is when its start was handed over; zero where an earlier leader
+	// or life did.
+	sentAt   time.Time
+	answered time.Time
+	listed   bool
+	refusal  weir.Refusal
+	// dropped says that its start was never sent.
+	dropped   bool
+	unwanted  bool
+	stopSent  time.Time
+	stopAcked time.Time
+}
+
+// report is the last answer to a renewal.
+type report struct {
+	sentAt  time.Time
+	running map[weir.RunKey]weir.RunningTask
+	whole   bool
+}
+
+// Session deals with one life of a worker. Set the exported fields before Run.
+type Session struct {
+	Life    weir.WorkerLife
+	Token   uint64
+	Lease   time.Duration
+	Workers weir.TaskWorkers
+	Leads   weir.Authority
+	Clock   weir.Clock
+	Logger  log.Logger
+	// LapsesBy is when a lease that an earlier leader gave has surely lapsed.
+	LapsesBy time.Time
+	// Changed tells the owner that there is something to reconcile.
+	Changed func()
+
+	mu       sync.Mutex
+	runs     map[weir.RunKey]*run
+	ends     []weir.RunEnd // those that are not recorded, oldest first
+	taken    int64         // number of the last end handed out by Reconcile
+	recorded int64
+	wake     chan struct{}
+	orders   chan func(ctx context.Context)
+	last     report
+	// basis pairs the worker's clock with ours.
+	basisClock time.Duration
+	basisSent  time.Time
+	basisRecv  time.Time
+	lapsesBy   time.Time
+	failingAt  time.Time // since when renewals fail; zero while they do not
+	otherLife  bool
+}
+
+// String is the step's name in logs.
+func (ss *Session) String() string { return "session with " + string(ss.Life.ID) }
+
+// Default prepares the session.
+func (ss *Session) Default() error {
+	if ss.Logger == nil {
+		ss.Logger = log.NewNopLogger()
+	}
+	ss.runs = map[weir.RunKey]*run{}
+	ss.wake = make(chan struct{}, 1)
+	ss.orders = make(chan func(ctx context.Context), orderSlots)
+	ss.lapsesBy = ss.LapsesBy
+	return nil
+}
+
+// Run renews and sends until the context ends.
+func (ss *Session) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	for range senders {
+		wg.Go(func() { ss.send(ctx) })
+	}
+	for ctx.Err() == nil {
+		if !ss.renew(ctx) {
+			pause(ctx, retryPause)
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (ss *Session) send(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case order := <-ss.orders:
+			order(ctx)
+		}
+	}
+}
+
+// renew sends one renewal and takes its answer. It reports whether the next
+// one may follow at once.
+func (ss *Session) renew(ctx context.Context) bool {
+	if !ss.Leads.Leads() {
+		return false
+	}
+	ss.mu.Lock()
+	sentAt := ss.Clock.Now()
+	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.recorded, Wait: renewWait}
+	first := ss.basisSent.IsZero()
+	if first || !ss.failingAt.IsZero() {
+		order.Wait = 0
+	}
+	if !first {
+		order.Until = ss.grant(sentAt)
+	}
+	ss.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, order.Wait+renewGrace)
+	defer cancel()
+	rep, err := ss.Workers.Renew(callCtx, ss.Life, order)
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		ss.renewFailed(err)
+		return false
+	}
+	fresh := ss.takeReport(sentAt, rep)
+	if fresh {
+		ss.Changed()
+		ss.awaitRecorded(ctx)
+	} else if first {
+		ss.Changed()
+	}
+	return true
+}
+
+// look asks for a report at once, while a renewal may still wait for an end.
+func (ss *Session) look(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	ss.mu.Lock()
+	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.recorded}
+	ss.mu.Unlock()
+	sentAt := ss.Clock.Now()
+	rep, err := ss.Workers.Renew(callCtx, ss.Life, order)
+	if err != nil {
+		_ = ss.Logger.Log("level", "debug", "msg", "look not answered", "worker", ss.Life.ID, "err", err)
+		return
+	}
+	ss.takeReport(sentAt, rep)
+	ss.Changed()
+}
+
+// grant returns a lease from now on and notes when it has surely lapsed. It
+// runs with the lock held, before the order is sent.
+func (ss *Session) grant(now time.Time) time.Duration {
+	until := ss.basisClock + now.Sub(ss.basisSent) + ss.Lease
+	lapse := ss.basisRecv.Add(time.Duration(float64(until-ss.basisClock)/clockSlack) + lapseMargin)
+	if lapse.After(ss.lapsesBy) {
+		ss.lapsesBy = lapse
+	}
+	return until
+}
+
+func (ss *Session) renewFailed(err error) {
+	metrics.GetOrCreateCounter("weir_worker_renewals_failed_total").Inc()
+	ss.mu.Lock()
+	first := ss.failingAt.IsZero()
+	if first {
+		ss.failingAt = ss.Clock.Now()
+	}
+	ss.mu.Unlock()
+	if first {
+		_ = ss.Logger.Log("level", "warn", "msg", "worker does not answer", "worker", ss.Life.ID,
+			"address", ss.Life.Address, "err", err)
+	}
+	ss.Changed()
+}
+
+// takeReport stores a report and reports whether it has new ends.
+func (ss *Session) takeReport(sentAt time.Time, rep weir.WorkerReport) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if rep.Born != 0 && rep.Born != ss.Life.Born {
+		ss.otherLife = true
+		return true
+	}
+	if !ss.failingAt.IsZero() {
+		_ = ss.Logger.Log("level", "info", "msg", "worker answers again", "worker", ss.Life.ID)
+		ss.failingAt = time.Time{}
+	}
+	ss.basis(rep.Clock, sentAt)
+	fresh := ss.takeEnds(rep.Ends)
+	if sentAt.Before(ss.last.sentAt) {
+		return fresh
+	}
+	ss.last = report{sentAt: sentAt, running: make(map[weir.RunKey]weir.RunningTask, len(rep.Running)), whole: len(rep.Ends) < maxEnds}
+	for _, rt := range rep.Running {
+		ss.last.running[rt.RunKey] = rt
+		if rn := ss.runs[rt.RunKey]; rn != nil {
+			rn.listed = true
+		}
+	}
+	return fresh
+}
+
+// takeEnds keeps the ends that are new and reports whether there were any.
+func (ss *Session) takeEnds(ends []weir.RunEnd) bool {
+	fresh := false
+	newest := ss.recorded
+	if len(ss.ends) > 0 {
+		newest = ss.ends[len(ss.ends)-1].Number
+	}
+	for _, en := range ends {
+		if en.Number > newest {
+			ss.ends = append(ss.ends, en)
+			newest = en.Number
+			fresh = true
+		}
+	}
+	return fresh
+}
+
+func (ss *Session) basis(clock time.Duration, sentAt time.Time) {
+	if clock == 0 || sentAt.Before(ss.basisSent) {
+		return
+	}
+	ss.basisClock, ss.basisSent, ss.basisRecv = clock, sentAt, ss.Clock.Now()
+}
+
+// awaitRecorded waits until the ends of the last report are recorded, so that
+// the next renewal acknowledges them and does not return them again.
+func (ss *Session) awaitRecorded(ctx context.Context) {
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	for {
+		ss.mu.Lock()
+		settled := len(ss.ends) == 0
+		ss.mu.Unlock()
+		if settled {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-ss.wake:
+		}
+	}
+}
+
+// Recorded tells that the ends up to a number are committed.
+func (ss *Session) Recorded(number int64) {
+	ss.mu.Lock()
+	ss.recorded = max(ss.recorded, number)
+	for len(ss.ends) > 0 && ss.ends[0].Number <= number {
+		ss.ends = ss.ends[1:]
+	}
+	ss.mu.Unlock()
+	select {
+	case ss.wake <- struct{}{}:
+	default:
+	}
+}
+
+// NotRecorded tells that ends handed out by Reconcile were not committed; the
+// next call hands them out again.
+func (ss *Session) NotRecorded() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.taken = ss.recorded
+}
+
+// Usable reports whether the worker answers and its clock is known.
+func (ss *Session) Usable() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return !ss.basisSent.IsZero() && ss.failingAt.IsZero() && !ss.otherLife
+}
+
+// Lapsed reports whether the worker does not answer and every lease that it
+// was given has surely lapsed, so that nothing runs there any more.
+func (ss *Session) Lapsed(now time.Time) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return !ss.failingAt.IsZero() && now.After(ss.lapsesBy)
+}
+
+// Running returns what the worker listed last, and when that was asked for.
+func (ss *Session) Running() (asked time.Time, running []weir.RunningTask) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	running = make([]weir.RunningTask, 0, len(ss.last.running))
+	for _, rt := range ss.last.running {
+		running = append(running, rt)
+	}
+	return ss.last.sentAt, running
+}
+
+// AtWork reports whether the worker answers and lists a lasting task at full
+// work.
+func (ss *Session) AtWork(key weir.RunKey) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.failingAt.IsZero() && ss.last.running[key].Percent >= fullWork
+}
+
+// Placed is one run that the state holds to be at the worker.
+type Placed struct {
+	Key weir.RunKey
+	// Wanted is false where the run is to be stopped.
+	Wanted bool
+}
+
+// Outcome is what Reconcile found to be recorded.
+type Outcome struct {
+	Ends []store.End
+	// Number is the last listed end among them; it goes to Recorded once the
+	// ends are committed.
+	Number int64
+	// Refused holds the workers' reasons, for placing elsewhere.
+	Refused map[weir.RunKey]weir.Refusal
+}
+
+// Reconcile compares what the state holds to be at the worker with what the
+// worker said. It returns ends to be committed and sends stops.
+func (ss *Session) Reconcile(now time.Time, placed []Placed) Outcome {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	out := Outcome{}
+	ended := make(map[weir.RunKey]bool, len(ss.ends))
+	for _, en := range ss.ends {
+		ended[en.RunKey] = true
+		if en.Number <= ss.taken {
+			continue
+		}
+		out.Ends = append(out.Ends, store.End{Task: en.Task, Run: en.Run, How: store.How(en.How), Checkpoint: en.Checkpoint})
+		out.Number = en.Number
+		ss.taken = en.Number
+	}
+	current := make(map[weir.RunKey]bool, len(placed))
+	for _, pl := range placed {
+		current[pl.Key] = true
+		if !ended[pl.Key] {
+			ss.reconcileRun(now, pl, &out)
+		}
+	}
+	ss.stopUnknown(now, current)
+	for key := range ss.runs {
+		if !current[key] {
+			delete(ss.runs, key)
+		}
+	}
+	return out
+}
+
+// reconcileRun decides on one run; see decide for the rules.
+func (ss *Session) reconcileRun(now time.Time, pl Placed, out *Outcome) {
+	rn := ss.runs[pl.Key]
+	if rn == nil {
+		rn = &run{}
+		ss.runs[pl.Key] = rn
+	}
+	rn.unwanted = !pl.Wanted
+	_, listed := ss.last.running[pl.Key]
+	switch decide(now, *rn, ss.last, listed, pl.Wanted) {
+	case verdictRefused:
+		out.Ends = append(out.Ends, store.End{Task: pl.Key.Task, Run: pl.Key.Run, How: store.EndRefused})
+		if out.Refused == nil {
+			out.Refused = map[weir.RunKey]weir.Refusal{}
+		}
+		out.Refused[pl.Key] = rn.refusal
+	case verdictLost:
+		out.Ends = append(out.Ends, store.End{Task: pl.Key.Task, Run: pl.Key.Run, How: store.EndLost})
+	case verdictStop:
+		ss.stop(now, pl.Key, rn)
+	case verdictWait:
+	}
+}
+
+// stopUnknown stops what the worker runs and the state does not know there.
+func (ss *Session) stopUnknown(now time.Time, current map[weir.RunKey]bool) {
+	for key := range ss.last.running {
+		if current[key] {
+			continue
+		}
+		rn := ss.runs[key]
+		if rn == nil {
+			rn = &run{}
+		}
+		ss.stop(now, key, rn)
+		ss.runs[key] = rn
+		current[key] = true
+	}
+}
+
+// Start orders a run. The intent must be committed.
+func (ss *Session) Start(order weir.RunOrder) {
+	ss.mu.Lock()
+	ss.runs[order.RunKey] = &run{sentAt: ss.Clock.Now()}
+	ss.mu.Unlock()
+	if !ss.queue(func(ctx context.Context) { ss.sendStart(ctx, order) }) {
+		ss.dropStart(order.RunKey)
+	}
+}
+
+func (ss *Session) queue(order func(ctx context.Context)) bool {
+	select {
+	case ss.orders <- order:
+		return true
+	default:
+		metrics.GetOrCreateCounter("weir_worker_orders_dropped_total").Inc()
+		return false
+	}
+}
+
+func (ss *Session) dropStart(key weir.RunKey) {
+	ss.mu.Lock()
+	if rn := ss.runs[key]; rn != nil {
+		rn.dropped = true
+	}
+	ss.mu.Unlock()
+	ss.Changed()
+}
+
+func (ss *Session) sendStart(ctx context.Context, order weir.RunOrder) {
+	ss.mu.Lock()
+	rn := ss.runs[order.RunKey]
+	skip := rn == nil || rn.unwanted || ss.otherLife
+	sentAt := ss.Clock.Now()
+	if !skip {
+		rn.sentAt = sentAt
+		order.Token = ss.Token
+		order.Until = ss.grant(sentAt)
+	}
+	ss.mu.Unlock()
+	if skip {
+		ss.dropStart(order.RunKey)
+		return
+	}
+	if !ss.Leads.Leads() {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	ans, err := ss.Workers.Start(callCtx, ss.Life, order)
+	now := ss.Clock.Now()
+	metrics.GetOrCreateHistogram("weir_worker_start_seconds").Update(now.Sub(sentAt).Seconds())
+	ss.mu.Lock()
+	if err == nil {
+		rn.answered = now
+		rn.refusal = ans.Refusal
+		ss.basis(ans.Clock, sentAt)
+	} else {
+		// Without an answer the run is stopped before its task may run again.
+		rn.sentAt = time.Time{}
+	}
+	ss.mu.Unlock()
+	if err != nil || ans.Refusal != weir.RefusedNone {
+		_ = ss.Logger.Log("level", "warn", "msg", "start not confirmed", "job", order.Task.Job, "task", order.Task,
+			"run", order.RunKey.Run, "worker", ss.Life.ID, "refusal", string(ans.Refusal), "err", err)
+		ss.Changed()
+	}
+}
+
+// stop sends a stop, and again where it has shown no effect. It runs with the
+// lock held.
+func (ss *Session) stop(now time.Time, key weir.RunKey, rn *run) {
+	if !rn.stopSent.IsZero() && now.Sub(rn.stopSent) < stopAgain {
+		return
+	}
+	rn.stopSent = now
+	ss.queue(func(ctx context.Context) {
+		if !ss.Leads.Leads() {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		ans, err := ss.Workers.Stop(callCtx, ss.Life, key, ss.Token)
+		if err == nil && ans.Refusal == weir.RefusedNone {
+			ss.mu.Lock()
+			rn.stopAcked = ss.Clock.Now()
+			_, listed := ss.last.running[key]
+			ss.mu.Unlock()
+			if !listed {
+				ss.look(ctx)
+			}
+			return
+		}
+		_ = ss.Logger.Log("level", "warn", "msg", "stop not confirmed", "job", key.Task.Job, "task", key.Task,
+			"run", key.Run, "worker", ss.Life.ID, "refusal", string(ans.Refusal), "err", err)
+	})
+}
+
+// Pace orders the share at which a run works.
+func (ss *Session) Pace(key weir.RunKey, percent int) {
+	ss.queue(func(ctx context.Context) {
+		if !ss.Leads.Leads() {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if _, err := ss.Workers.Pace(callCtx, ss.Life, key, percent, ss.Token); err != nil {
+			_ = ss.Logger.Log("level", "warn", "msg", "pace not confirmed", "task", key.Task, "run", key.Run,
+				"worker", ss.Life.ID, "percent", percent, "err", err)
+		}
+	})
+}
