fix: machines that are about to go count as away for the steps that run there

Ruled out: a late list of what runs (both tasks were at full work). Change: a task at a machine with an operation under way, or being committed, counts as away.

--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -216,7 +216,7 @@
 		for ix := range js.Rounds[ref.Occurrence][ref.Step].Tasks {
 			tk := &js.Rounds[ref.Occurrence][ref.Step].Tasks[ix]
 			ref.Index = ix
-			if tk.Worker != id && !ow.atWork(re, weir.RunKey{Task: ref, Run: tk.Run}, tk.Worker) {
+			if tk.Worker != id && !ow.atWork(re, rd, weir.RunKey{Task: ref, Run: tk.Run}, tk.Worker) {
 				away++
 			}
 		}
@@ -227,9 +227,17 @@
 	return true
 }
 
-func (ow *Owner) atWork(re *reign, key weir.RunKey, id weir.InstanceID) bool {
+// atWork reports whether a lasting task works at a worker that no planned work
+// is about to end.
+func (ow *Owner) atWork(re *reign, rd store.Reader, key weir.RunKey, id weir.InstanceID) bool {
 	at := re.sessions[id]
-	return at != nil && at.ss.AtWork(key)
+	if at == nil || re.machines.intent[at.worker.Machine] {
+		return false
+	}
+	if _, ordered := rd.Order(at.worker.Machine); ordered {
+		return false
+	}
+	return at.ss.AtWork(key)
 }
 
 // orderMachine sends one order and records its answer.
