--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -65,7 +65,9 @@
 	metrics.GetOrCreateHistogram(`weir_call_seconds{kind="` + string(call.Kind) + `"}`).Update(took.Seconds())
 	if rep.Outcome != jobapi.OK || call.Kind == jobapi.Submit || call.Kind == jobapi.Cancel {
 		level := "debug"
-		if rep.Outcome != jobapi.OK && rep.Outcome != jobapi.NoQueue && rep.Outcome != jobapi.NoJob {
+		// A forwarded call that found no leader is logged where it came in.
+		if rep.Outcome == jobapi.Invalid || rep.Outcome == jobapi.Refused || rep.Outcome == jobapi.Unknown ||
+			(rep.Outcome == jobapi.Unavailable && call.Hops == 0) {
 			level = "info"
 		}
 		_ = sv.Logger.Log("level", level, "msg", "call answered", "kind", string(call.Kind), "path", call.Path,
--- a/internal/task/session/decide.go
+++ b/internal/task/session/decide.go
@@ -27,7 +27,7 @@
 //   - listed: it runs, and is stopped if it is not wanted;
 //   - not listed by a report that was asked for after the worker had confirmed
 //     its start or its stop: it is over;
-//   - start under way: wait;
+//   - no report yet, or start under way: wait;
 //   - else nobody knows: stop it by number, after which the worker refuses it.
 func decide(now time.Time, rn run, last report, listed, wanted bool) verdict {
 	switch {
@@ -44,6 +44,10 @@
 	case listed:
 		return verdictStop
 	}
+	if last.sentAt.IsZero() {
+		// Nothing is known of the worker yet, but what it was told.
+		return verdictWait
+	}
 	after := func(moment time.Time) bool {
 		return !moment.IsZero() && last.sentAt.After(moment) && last.whole
 	}
