fix: a spare votes for a candidate whose set names it

Ruled out: counting fewer votes (unsafe). Change: a request for a vote names the disk under which the candidate's set lists the voter; a member with that disk votes.

--- a/internal/state/replica/cluster_test.go
+++ b/internal/state/replica/cluster_test.go
@@ -48,6 +48,9 @@
 	wipes   int
 	// quorum replaces a rule under test; zero keeps it.
 	weakLearner bool
+	// initial are the first voters where not all members are; the others
+	// start as learners that know of no members.
+	initial []string
 }
 
 func newCluster(t *testing.T, size int, seed int64) *cluster {
@@ -67,8 +70,12 @@
 
 func (cl *cluster) start(id string) {
 	pe := cl.peers[id]
+	members := cl.ids
+	if cl.initial != nil {
+		members = nil
+	}
 	pe.core = &Core{
-		ID: id, Members: cl.ids, Election: testElection, Heartbeat: testHeartbeat,
+		ID: id, Members: members, Election: testElection, Heartbeat: testHeartbeat,
 		Rand: rand.New(rand.NewSource(cl.rng.Int63())),
 	}
 	entries := append([]Entry{}, pe.disk.entries...)
@@ -233,7 +240,7 @@
 		return
 	}
 	index := pe.core.Applied()
-	snap := Snapshot{Index: index, Term: pe.core.TermAt(index), Data: []byte("snap")}
+	snap := Snapshot{Index: index, Term: pe.core.TermAt(index), Data: []byte("snap"), Members: pe.core.MembersAt(index)}
 	pe.core.Compact(snap)
 	pe.disk.snap = snap
 	pe.disk.entries = append([]Entry{}, pe.core.Tail()...)
--- a/internal/state/replica/elect.go
+++ b/internal/state/replica/elect.go
@@ -21,7 +21,7 @@
 func (co *Core) askVotes(kind MessageKind, term uint64) {
 	last := co.log.last()
 	for _, id := range co.otherVoters() {
-		co.send(Message{Kind: kind, To: id, Term: term, Index: last, LogTerm: co.log.term(last)})
+		co.send(Message{Kind: kind, To: id, Term: term, Index: last, LogTerm: co.log.term(last), Disk: co.voters()[id]})
 	}
 }
 
@@ -34,6 +34,12 @@
 	return co.leader != "" && now.Sub(co.heardLeader) < co.Election
 }
 
+// mayVote reports whether this member's vote counts. A spare may be a voter
+// before its own log says so: the candidate's set then names its disk.
+func (co *Core) mayVote(msg Message) bool {
+	return !co.learner() || (msg.Disk != "" && msg.Disk == co.hard.Disk)
+}
+
 func (co *Core) upToDate(msg Message) bool {
 	last := co.log.last()
 	term := co.log.term(last)
@@ -44,7 +50,7 @@
 }
 
 func (co *Core) stepPreVote(now time.Time, msg Message) {
-	grant := !co.learner() && msg.Term > co.hard.Term && !co.leaderAlive(now) && co.upToDate(msg)
+	grant := co.mayVote(msg) && msg.Term > co.hard.Term && !co.leaderAlive(now) && co.upToDate(msg)
 	reply := Message{Kind: MsgPreVoteReply, To: msg.From, Term: msg.Term, Reject: !grant}
 	if !grant {
 		reply.Term = co.hard.Term
@@ -81,7 +87,7 @@
 		co.becomeFollower(now, msg.Term, "")
 	}
 	free := co.hard.Vote == "" || co.hard.Vote == msg.From
-	grant := !co.learner() && free && co.role == Follower && co.upToDate(msg)
+	grant := co.mayVote(msg) && free && co.role == Follower && co.upToDate(msg)
 	if grant {
 		co.setTerm(msg.Term, msg.From)
 		co.resetElection(now)
--- /dev/null
+++ b/internal/state/replica/members_test.go
@@ -0,0 +1,178 @@
+package replica
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newGrowingCluster has size members of which the first voters vote.
+func newGrowingCluster(t *testing.T, size, voters int, seed int64) *cluster {
+	cl := &cluster{
+		t: t, rng: rand.New(rand.NewSource(seed)), now: time.Unix(1_800_000_000, 0), peers: map[string]*peerState{},
+		cut: map[string]bool{}, chosen: map[uint64]string{}, leaders: map[uint64]string{},
+	}
+	for ix := range size {
+		cl.ids = append(cl.ids, fmt.Sprintf("c%d", ix+1))
+	}
+	cl.initial = cl.ids[:voters]
+	for ix, id := range cl.ids {
+		hard := Hard{Disk: id + "-0", Initial: cl.initial}
+		if ix >= voters {
+			hard = Hard{Disk: id + "-0", Learner: true}
+		}
+		cl.peers[id] = &peerState{disk: disk{hard: hard}}
+		cl.start(id)
+	}
+	return cl
+}
+
+// introduce makes the leader send its log to all.
+func (cl *cluster) introduce() {
+	if id := cl.leader(); id != "" {
+		for _, other := range cl.ids {
+			cl.peers[id].core.AddSpare(cl.now, other)
+		}
+		cl.settle(id, false)
+	}
+}
+
+func (cl *cluster) change(t *testing.T, edit func(voters map[string]string, core *Core)) error {
+	t.Helper()
+	id := cl.leader()
+	if id == "" {
+		return &Error{Op: "change", Kind: KindNotLeader}
+	}
+	core := cl.peers[id].core
+	voters := maps.Clone(core.voters())
+	edit(voters, core)
+	err := core.ChangeMembers(cl.now, voters)
+	cl.settle(id, false)
+	return err
+}
+
+func (cl *cluster) voters() []string { return cl.peers[cl.leader()].core.Status().Voters }
+
+func TestSpareTakesThePlaceOfALostVoter(t *testing.T) {
+	cl := newGrowingCluster(t, 4, 3, 1)
+	cl.calm(40)
+	cl.introduce()
+	cl.calm(10)
+	lost := "c1"
+	if cl.leader() == lost {
+		lost = "c2"
+	}
+	cl.cut[lost] = true
+	pass := func(rounds int) {
+		for range rounds {
+			cl.now = cl.now.Add(testTick)
+			for _, id := range cl.ids {
+				if id != lost {
+					cl.tick(id)
+				}
+			}
+			cl.deliverAll()
+		}
+	}
+	pass(20)
+	require.NoError(t, cl.change(t, func(voters map[string]string, core *Core) {
+		disk, ready := core.SpareReady("c4")
+		require.True(t, ready)
+		voters["c4"] = disk
+	}))
+	pass(20)
+	require.NoError(t, cl.change(t, func(voters map[string]string, _ *Core) { delete(voters, lost) }))
+	pass(20)
+	require.Len(t, cl.voters(), 3)
+	require.Contains(t, cl.voters(), "c4")
+	// Another loss is borne by the new set.
+	leader := cl.leader()
+	other := slices.DeleteFunc(slices.Clone(cl.voters()), func(id string) bool { return id == leader || id == "c4" })[0]
+	cl.cut[other] = true
+	before := cl.peers[leader].at
+	require.True(t, cl.propose("after"))
+	pass(5)
+	require.Greater(t, cl.peers[leader].at, before, "commits with the spare")
+}
+
+func TestMembersChangeOneAtATime(t *testing.T) {
+	cl := newGrowingCluster(t, 5, 3, 2)
+	cl.calm(40)
+	cl.introduce()
+	cl.calm(10)
+	require.ErrorContains(t, cl.change(t, func(voters map[string]string, _ *Core) {
+		voters["c4"], voters["c5"] = "c4-0", "c5-0"
+	}), string(KindMembers), "two at once")
+	leader := cl.leader()
+	require.ErrorContains(t, cl.change(t, func(voters map[string]string, _ *Core) { delete(voters, leader) }),
+		string(KindMembers), "the leader itself")
+	cl.peers[leader].core.Tick(cl.now)
+	require.NoError(t, cl.change(t, func(voters map[string]string, _ *Core) { voters["c4"] = "c4-0" }))
+	require.ErrorContains(t, cl.change(t, func(voters map[string]string, _ *Core) { voters["c5"] = "c5-0" }),
+		string(KindPending), "the first is not committed")
+	cl.calm(10)
+	require.NoError(t, cl.change(t, func(voters map[string]string, _ *Core) { voters["c5"] = "c5-0" }))
+}
+
+// TestRandomChangesOfMembers mixes changes of members with crashes at any
+// point, cuts, snapshots, lost, repeated and reordered messages. The cluster
+// asserts that no two members apply different entries and that no term has two
+// leaders.
+func TestRandomChangesOfMembers(t *testing.T) {
+	changes := 0
+	for seed := range int64(150) {
+		cl := newGrowingCluster(t, 5, 3, seed)
+		cl.calm(30)
+		for step := range 400 {
+			cl.now = cl.now.Add(testTick / 2)
+			id := cl.ids[cl.rng.Intn(len(cl.ids))]
+			switch draw := cl.rng.Intn(100); {
+			case draw < 45 && len(cl.net) > 0:
+				cl.deliver(cl.rng.Intn(len(cl.net)), cl.rng.Intn(20) == 0)
+			case draw < 75:
+				cl.tick(id)
+			case draw < 82:
+				cl.propose(fmt.Sprint(step))
+			case draw < 88:
+				cl.introduce()
+			case draw < 92:
+				if cl.change(t, cl.randomEdit) == nil {
+					changes++
+				}
+			case draw < 94 && cl.peers[id].up:
+				cl.settle(id, true)
+				cl.crash(id)
+			case draw < 96 && !cl.peers[id].up:
+				cl.start(id)
+			case draw < 97:
+				cl.cut[id] = !cl.cut[id]
+			case draw < 98:
+				cl.compact(id)
+			}
+		}
+		cl.calm(80)
+		require.NotEmpty(t, cl.leader(), "seed %d: no leader when all is well again", seed)
+		require.True(t, cl.propose("last"))
+		cl.calm(10)
+		for _, id := range cl.voters() {
+			require.Equal(t, cl.peers[cl.leader()].at, cl.peers[id].at, "seed %d: %s holds all", seed, id)
+		}
+	}
+	require.Greater(t, changes, 100, "the seeds change members often")
+}
+
+func (cl *cluster) randomEdit(voters map[string]string, core *Core) {
+	id := cl.ids[cl.rng.Intn(len(cl.ids))]
+	if _, ok := voters[id]; ok {
+		delete(voters, id)
+		return
+	}
+	if disk, ready := core.SpareReady(id); ready {
+		voters[id] = disk
+	}
+}
--- a/internal/state/replica/types.go
+++ b/internal/state/replica/types.go
@@ -118,7 +118,8 @@
 	Commit  uint64  `json:"commit,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
 	Reject  bool    `json:"reject,omitempty"`
-	// Learner and Disk mark replies of a member that is not to be counted.
+	// Learner and Disk mark replies of a member that is not to be counted. In
+	// a request for a vote, Disk is the one that the candidate's set names.
 	Learner  bool      `json:"learner,omitempty"`
 	Disk     string    `json:"disk,omitempty"`
 	Snapshot *Snapshot `json:"snapshot,omitempty"`
