feat: machines move between pools as demand turns; settings are read again

Ruled out: a lack of machines (other pools idle at the same time). Change: capacity/balance decides moves from load, arriving work and lasting tasks; the owner carries them out through committed intents; tasks gather on machines that lasting tasks tie down. SIGHUP and a look now and then read the settings again, for new seeds.

--- a/cmd/greengageweir/platform.go
+++ b/cmd/greengageweir/platform.go
@@ -1,20 +1,26 @@
 package main
 
 import (
+	"context"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
 
 	"greengageweir/internal/duty/cli"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/duty/logs"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+	"greengageweir/internal/member/roster"
 	"greengageweir/platform"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/labstack/echo/v4"
-
-	"greengageweir/internal/duty/ops"
 )
 
 const (
@@ -25,6 +31,9 @@
 	// works harder.
 	memoryShare = 0.6
 	megabyte    = 1 << 20
+	// settingsEvery separates looks at the settings file: seeds are needed
+	// only when all known processes have moved.
+	settingsEvery = 5 * time.Second
 )
 
 // platformFlags are the flags of the commands that take their settings from
@@ -34,13 +43,45 @@
 	LogLevel string `long:"log-level" env:"WEIR_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
+// path is the settings file's.
+func (pf *platformFlags) path() string {
+	if pf.Settings != "" {
+		return pf.Settings
+	}
+	return platform.SettingsPath()
+}
+
+// watch reads the settings again at each SIGHUP, and now and then, since they
+// may change without a signal. What cannot be read changes nothing.
+func (pf *platformFlags) watch(lg log.Logger, ros *roster.Roster) *run.Func {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	return &run.Func{Name: "settings", Do: func(ctx context.Context) error {
+		ticker := time.NewTicker(settingsEvery)
+		defer ticker.Stop()
+		for {
+			signalled := false
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hups:
+				signalled = true
+			case <-ticker.C:
+			}
+			st, err := platform.Load(pf.path())
+			if signalled || err != nil {
+				_ = lg.Log("level", "info", "msg", "settings read", "signal", signalled, "seeds", strings.Join(st.Seeds, ","), "err", err)
+			}
+			if err == nil {
+				ros.Learn(st.SeedPeers())
+			}
+		}
+	}}
+}
+
 // open reads the settings and starts the log on standard output.
 func (pf *platformFlags) open(role string) (platform.Settings, log.Logger, error) {
-	path := pf.Settings
-	if path == "" {
-		path = platform.SettingsPath()
-	}
-	st, err := platform.Load(path)
+	st, err := platform.Load(pf.path())
 	if err != nil {
 		return st, nil, err
 	}
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	ctx := stopContext(lg, func() string { return "nothing that is not synced" })
-	err = run.All(ctx, lg, controlSteps(&st, lg)...)
+	err = run.All(ctx, lg, pc.steps(&st, lg)...)
 	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
 	return err
 }
@@ -79,7 +79,7 @@
 	return wal.FormatInitial(st.DataDir, voters)
 }
 
-func controlSteps(st *platform.Settings, lg log.Logger) []weir.Step {
+func (pc *platformControlCommand) steps(st *platform.Settings, lg log.Logger) []weir.Step {
 	self := peer.Identity{ID: st.PeerAddress(), Role: "control", Zone: string(st.Zone)}
 	lks := &links.Links{Self: self, Token: peerToken, Logger: lg}
 	str := store.New()
@@ -111,6 +111,7 @@
 		com,
 		own,
 		ros,
+		pc.watch(lg, ros),
 		metricsStep(st, func() any { return map[string]any{"log": nod.Status(), "holders": ros.Holders()} }),
 		&peer.Server{Addr: self.ID, Token: peerToken, Handle: peerHandler(nod, ros, svc), Logger: lg},
 		&ops.Listener{Name: "control listener", Addr: st.Bind.Control, Handler: ctl.Routes(), Patience: controlPatience},
--- a/cmd/greengageweir/platform_entry.go
+++ b/cmd/greengageweir/platform_entry.go
@@ -42,12 +42,12 @@
 		<-ctx.Done()
 		stopping.Store(true)
 	}()
-	err = run.All(ctx, lg, entrySteps(&st, lg, &stopping)...)
+	err = run.All(ctx, lg, pc.steps(&st, lg, &stopping)...)
 	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
 	return err
 }
 
-func entrySteps(st *platform.Settings, lg log.Logger, stopping *atomic.Bool) []weir.Step {
+func (pc *platformEntryCommand) steps(st *platform.Settings, lg log.Logger, stopping *atomic.Bool) []weir.Step {
 	self := peer.Identity{ID: st.PeerAddress(), Role: "entry", Zone: string(st.Zone)}
 	lks := &links.Links{Self: self, Token: peerToken, Logger: lg, NoRaft: true}
 	ros := &roster.Roster{Self: self.ID, Seeds: st.SeedPeers(), Links: lks, Logger: lg}
@@ -56,6 +56,7 @@
 	return []weir.Step{
 		lks,
 		ros,
+		pc.watch(lg, ros),
 		metricsStep(st, func() any { return map[string]any{"holders": ros.Holders(), "leader": ros.Leader()} }),
 		&ops.Listener{
 			Name: "callers' listener", Addr: st.Bind.Front, Handler: platform.NewFront(rly),
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -19,6 +19,8 @@
 	machineRetry = 400 * time.Millisecond
 	// machineTimeout is how long the platform may take to answer.
 	machineTimeout = 1500 * time.Millisecond
+	// tellEvery separates lines about maintenance that has to wait.
+	tellEvery = time.Second
 	// drainAhead is how many machines beyond those that may be away are kept
 	// free, so that the next can go at once.
 	drainAhead = 1
@@ -32,8 +34,22 @@
 	asked map[string]time.Time
 	// busy says that an order is under way.
 	busy map[string]bool
+	// leaving holds machines that get no new tasks as they are to move.
+	leaving map[string]bool
+	// listed is the platform's list of machines, listedAt when it was asked for.
+	listed   map[string]weir.Machine
+	listedAt time.Time
+	listing  bool
+	// toldAt is when it was logged last that maintenance waits.
+	toldAt time.Time
+	// sent holds where machines were sent last, and when.
+	sent map[string]sentTo
+	// needs holds what each pool wanted lately.
+	needs map[weir.PoolName][]needed
 	// intent holds machines whose operation is being committed.
 	intent map[string]bool
+	// answered is when the last order about a machine was accepted.
+	answered map[string]time.Time
 	// gone holds the worker life that an operation has ended.
 	gone map[string]int64
 }
@@ -41,7 +57,8 @@
 func newMachineDuty() *machineDuty {
 	return &machineDuty{
 		cordon: map[string]time.Time{}, asked: map[string]time.Time{}, busy: map[string]bool{},
-		intent: map[string]bool{}, gone: map[string]int64{},
+		leaving: map[string]bool{}, listed: map[string]weir.Machine{}, sent: map[string]sentTo{},
+		needs: map[weir.PoolName][]needed{}, intent: map[string]bool{}, answered: map[string]time.Time{}, gone: map[string]int64{},
 	}
 }
 
@@ -50,6 +67,19 @@
 	return ok && machine != ""
 }
 
+func (md *machineDuty) cordonsAny(wv *store.Wave) bool {
+	return slices.ContainsFunc(wv.Machines, md.cordoned)
+}
+
+// closed reports whether a machine gets no new tasks.
+func (md *machineDuty) closed(rd store.Reader, machine string) bool {
+	if machine == "" {
+		return false
+	}
+	_, ordered := rd.Order(machine)
+	return ordered || md.cordoned(machine) || md.intent[machine] || md.leaving[machine]
+}
+
 // candidate is a machine that waits for maintenance.
 type candidate struct {
 	machine string
@@ -60,63 +90,80 @@
 	cordoned bool
 }
 
-// maintain carries on the waves: it keeps machines free, orders what may go
-// now and repeats what was not answered.
+// maintain carries on what is asked of machines: it repeats orders that were
+// not answered, begins maintenance that may begin, and moves machines.
 func (ow *Owner) maintain(ctx context.Context, re *reign, now time.Time) {
-	if ow.Machines == nil || now.Sub(re.since) < ow.OrderPause {
+	if ow.Machines == nil {
+		return
+	}
+	ow.list(ctx, re, now)
+	if now.Sub(re.since) < ow.OrderPause || re.planning {
 		return
 	}
+	md := re.machines
 	var orders []weir.MachineOrder
 	ow.Store.Read(func(rd store.Reader) {
+		orders = ow.unanswered(re, rd, now)
 		byMachine := map[string]store.Worker{}
 		rd.EachWorker(func(wk store.Worker) { byMachine[wk.Machine] = wk })
 		numbers := make([]int64, 0, len(rd.Waves()))
 		for number, wv := range rd.Waves() {
-			if !wv.Done() {
+			if !wv.Done() || md.cordonsAny(wv) {
 				numbers = append(numbers, number)
 			}
 		}
 		slices.Sort(numbers)
 		for _, number := range numbers {
-			orders = append(orders, ow.advance(re, rd, rd.Waves()[number], byMachine, now)...)
+			ow.advance(re, rd, rd.Waves()[number], byMachine, now)
 		}
+		ow.balance(re, rd, byMachine, now)
 	})
 	for _, order := range orders {
-		re.machines.busy[order.Machine] = true
-		re.machines.asked[order.Machine] = now
+		md.busy[order.Machine] = true
+		md.asked[order.Machine] = now
 		go ow.orderMachine(ctx, re, order)
 	}
 }
 
-// advance returns the orders of one wave that may go now.
-func (ow *Owner) advance(re *reign, rd store.Reader, wv *store.Wave, byMachine map[string]store.Worker, now time.Time) []weir.MachineOrder {
+// unanswered lists the orders that are committed and not known to be done.
+func (ow *Owner) unanswered(re *reign, rd store.Reader, now time.Time) []weir.MachineOrder {
+	md := re.machines
+	var orders []weir.MachineOrder
+	rd.EachOrder(func(op store.MachineOperation) {
+		if !md.busy[op.Machine] && now.Sub(md.asked[op.Machine]) >= machineRetry {
+			orders = append(orders, weir.MachineOrder{
+				Machine: op.Machine, Holder: ow.HolderName, Token: re.term, Wave: op.Wave, Pool: op.Pool,
+			})
+		}
+	})
+	return orders
+}
+
+// advance begins what may begin of one wave.
+func (ow *Owner) advance(re *reign, rd store.Reader, wv *store.Wave, byMachine map[string]store.Worker, now time.Time) {
 	md := re.machines
 	away := 0
-	var repeat []weir.MachineOrder
 	var waiting []candidate
 	for _, machine := range wv.Machines {
 		op, ordered := rd.Order(machine)
 		switch {
-		case md.intent[machine] && !ordered:
-			away++
 		case ordered && op.Wave == wv.Number:
 			away++
-			if !md.busy[machine] && now.Sub(md.asked[machine]) >= machineRetry {
-				repeat = append(repeat, ow.machineOrder(re, machine, wv.Number))
-			}
+		case md.intent[machine] && !ordered && !wv.Begun[machine]:
+			away++
 		case ordered:
 		case wv.Begun[machine]:
-			if !ow.back(re, byMachine[machine], machine) {
-				away++
-			} else {
+			if ow.back(re, byMachine[machine], machine) {
 				delete(md.cordon, machine)
+			} else {
+				away++
 			}
 		default:
 			waiting = append(waiting, ow.candidate(re, rd, machine, byMachine[machine]))
 		}
 	}
 	slices.SortFunc(waiting, func(one, other candidate) int {
-		return cmp.Or(-boolRank(one.cordoned)+boolRank(other.cordoned), cmp.Compare(one.work, other.work),
+		return cmp.Or(boolRank(other.cordoned)-boolRank(one.cordoned), cmp.Compare(one.work, other.work),
 			cmp.Compare(one.lasting, other.lasting), cmp.Compare(one.machine, other.machine))
 	})
 	free := max(wv.AtOnce, 1) - away
@@ -129,7 +176,6 @@
 		}
 	}
 	ow.begin(re, rd, wv, waiting, free, now)
-	return repeat
 }
 
 // begin commits the intent for machines that may go; the order follows once
@@ -147,7 +193,12 @@
 		if ca.work > 0 && now.Sub(since) < drainPatience {
 			continue
 		}
-		if !ow.mayDisrupt(re, rd, ca.worker) {
+		if step, away := ow.blocked(re, rd, ca.worker); step != nil {
+			if now.Sub(since) > drainPatience && now.Sub(md.toldAt) > tellEvery {
+				md.toldAt = now
+				_ = ow.Logger.Log("level", "info", "msg", "maintenance waits", "machine", ca.machine, "worker", ca.worker,
+					"wave", wv.Number, "job", step.Job, "step", step, "away", away)
+			}
 			continue
 		}
 		free--
@@ -155,15 +206,23 @@
 		op := store.MachineOperation{Machine: ca.machine, Wave: wv.Number}
 		_ = ow.Logger.Log("level", "info", "msg", "maintenance begins", "machine", ca.machine, "worker", ca.worker,
 			"wave", wv.Number, "runs", ca.work, "lasting", ca.lasting)
-		md.intent[ca.machine] = true
-		done := func([]store.Answer, error) {
-			ow.mu.Lock()
-			delete(md.intent, ca.machine)
-			ow.mu.Unlock()
-		}
-		if !ow.Committer.Submit([]store.Change{{Machine: &op}}, done) {
-			delete(md.intent, ca.machine)
-		}
+		ow.intend(re, op)
+	}
+}
+
+// intend commits that a machine is to be ordered about; the order follows once
+// the state says so.
+func (ow *Owner) intend(re *reign, op store.MachineOperation) {
+	md := re.machines
+	md.intent[op.Machine] = true
+	done := func([]store.Answer, error) {
+		ow.mu.Lock()
+		delete(md.intent, op.Machine)
+		ow.mu.Unlock()
+		ow.Wake()
+	}
+	if !ow.Committer.Submit([]store.Change{{Machine: &op}}, done) {
+		delete(md.intent, op.Machine)
 	}
 }
 
@@ -174,13 +233,15 @@
 	return 0
 }
 
-func (ow *Owner) machineOrder(re *reign, machine string, wave int64) weir.MachineOrder {
-	return weir.MachineOrder{Machine: machine, Holder: ow.HolderName, Token: re.term, Wave: wave}
-}
-
-// back reports whether a machine runs a worker again after its maintenance.
+// back reports whether a machine's maintenance is over: it runs a worker
+// again, or it stands by, where none runs, and the platform lists it as up.
 func (ow *Owner) back(re *reign, wk store.Worker, machine string) bool {
-	if wk.ID == "" || re.machines.gone[machine] == wk.Born {
+	md := re.machines
+	if wk.ID == "" {
+		mc := md.listed[machine]
+		return mc.State == weir.MachineUp && md.listedAt.After(md.answered[machine])
+	}
+	if md.gone[machine] == wk.Born {
 		return false
 	}
 	at := re.sessions[wk.ID]
@@ -199,10 +260,11 @@
 	return ca
 }
 
-// mayDisrupt reports whether ending all that runs at a worker leaves no step
-// with more of its lasting tasks away than it allows. A task counts as away
-// unless its worker lists it at full work.
-func (ow *Owner) mayDisrupt(re *reign, rd store.Reader, id weir.InstanceID) bool {
+// blocked names a step of which more lasting tasks would be away than it
+// allows if all that runs at a worker ended, and how many are away already; it
+// is nil where there is none. A task counts as away unless its worker lists it
+// at full work.
+func (ow *Owner) blocked(re *reign, rd store.Reader, id weir.InstanceID) (step *weir.TaskRef, away int) {
 	steps := map[weir.TaskRef]int{}
 	for key := range rd.Runs(id) {
 		js := rd.Job(key.Task.Job)
@@ -212,19 +274,21 @@
 	}
 	for ref, here := range steps {
 		js := rd.Job(ref.Job)
-		away := here - 1
-		for ix := range js.Rounds[ref.Occurrence][ref.Step].Tasks {
-			tk := &js.Rounds[ref.Occurrence][ref.Step].Tasks[ix]
-			ref.Index = ix
-			if tk.Worker != id && !ow.atWork(re, rd, weir.RunKey{Task: ref, Run: tk.Run}, tk.Worker) {
+		away = here - 1
+		tasks := js.Rounds[ref.Occurrence][ref.Step].Tasks
+		for ix := range tasks {
+			tk := &tasks[ix]
+			task := ref
+			task.Index = ix
+			if tk.Worker != id && !ow.atWork(re, rd, weir.RunKey{Task: task, Run: tk.Run}, tk.Worker) {
 				away++
 			}
 		}
 		if away >= js.Spec.Steps[ref.Step].MaxAway {
-			return false
+			return &ref, away
 		}
 	}
-	return true
+	return nil, 0
 }
 
 // atWork reports whether a lasting task works at a worker that no planned work
@@ -277,11 +341,15 @@
 	}
 	changes := []store.Change{{Machine: op}}
 	if op.Begun {
+		re.machines.answered[order.Machine] = ow.Clock.Now()
+		if order.Pool != "" {
+			re.machines.sent[order.Machine] = sentTo{pool: order.Pool, at: ow.Clock.Now()}
+		}
 		ow.Store.Read(func(rd store.Reader) {
 			rd.EachWorker(func(wk store.Worker) {
 				if wk.Machine == order.Machine {
 					re.machines.gone[order.Machine] = wk.Born
-					changes = append(changes, store.Change{Leave: &store.Leave{ID: wk.ID, Born: wk.Born, Reason: "maintenance"}})
+					changes = append(changes, store.Change{Leave: &store.Leave{ID: wk.ID, Born: wk.Born, Reason: "machine ordered away"}})
 				}
 			})
 		})
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -168,7 +168,7 @@
 	workers := make([]plan.Worker, 0, len(re.sessions))
 	for id, at := range re.sessions {
 		wk, ok := rd.Worker(id)
-		if !ok || wk.Draining || wk.Born != at.worker.Born || !at.ss.Usable() || re.machines.cordoned(wk.Machine) {
+		if !ok || wk.Draining || wk.Born != at.worker.Born || !at.ss.Usable() || re.machines.closed(rd, wk.Machine) {
 			continue
 		}
 		hl := re.health[id]
@@ -182,7 +182,7 @@
 			switch {
 			case step.Filling:
 				pw.Filling++
-			case step.Lasting && step.Target > 0:
+			case step.Lasting:
 				pw.Serving++
 			}
 		}
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -189,6 +189,8 @@
 	if _, failed := sv.commit(ctx, store.Change{Submit: &jb}); failed != nil {
 		return *failed
 	}
+	_ = sv.Logger.Log("level", "info", "msg", "job accepted", "job", jb.ID, "queue", jb.Queue, "steps", len(jb.Steps),
+		"tasks", jb.Tasks(), "lasting", jb.Lasting(), "times", jb.Times)
 	sv.Owner.Wake()
 	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Queued}
 }
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -147,6 +147,15 @@
 	return false
 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (jb Job) Tasks() int {
+	count := 0
+	for _, st := range jb.Steps {
+		count += st.Count
+	}
+	return count
+}
+
 // Check reports the first thing that is wrong with the job.
 func (jb Job) Check() error {
 	if len(jb.Text) > MaxText {
@@ -158,14 +167,12 @@
 	if jb.Times < 0 || jb.Times > MaxTimes || jb.Every < 0 {
 		return invalid("%d occurrences each %s", jb.Times, jb.Every)
 	}
-	tasks := 0
 	for ix, st := range jb.Steps {
 		if err := st.check(ix); err != nil {
 			return err
 		}
-		tasks += st.Count
 	}
-	if tasks > MaxTasks {
+	if tasks := jb.Tasks(); tasks > MaxTasks {
 		return invalid("%d tasks, at most %d", tasks, MaxTasks)
 	}
 	return nil
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -77,3 +77,10 @@
 	}
 	return ids
 }
+
+// EachOrder calls a function for each operation under way on a machine.
+func (rd Reader) EachOrder(do func(op MachineOperation)) {
+	for _, op := range rd.st.Orders {
+		do(*op)
+	}
+}
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -88,6 +88,15 @@
 	_ = ro.Logger.Log("level", "info", "msg", "process found", "peer", id)
 }
 
+// Learn makes further seeds known.
+func (ro *Roster) Learn(seeds []string) {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	for _, id := range seeds {
+		ro.learn(id)
+	}
+}
+
 // Holders returns the known holders of the log, sorted.
 func (ro *Roster) Holders() []string {
 	ro.mu.Lock()
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -53,8 +53,8 @@
 	Rack string
 	// Free is the room that no run takes.
 	Free spec.Need
-	// Serving and Filling count the lasting tasks with a response time to
-	// keep, and those that use what others leave.
+	// Serving and Filling count the lasting tasks, apart from those that use
+	// what others leave.
 	Serving int
 	Filling int
 	// Suspect workers are used only where there is no other.
@@ -147,7 +147,7 @@
 	switch {
 	case st.Filling:
 		wk.Filling++
-	case st.Lasting && st.Target > 0:
+	case st.Lasting:
 		wk.Serving++
 	}
 }
@@ -216,21 +216,25 @@
 		compareBool(one.Suspect || one.ID == tk.Avoid, other.Suspect || other.ID == tk.Avoid),
 		compareBool(rack != "" && one.Rack != rack, rack != "" && other.Rack != rack),
 		gr.disturbance(one, other),
-		// The most room first spreads a job, so that the loss of one worker
-		// takes little of it.
-		cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU),
+		// Machines with lasting tasks cannot be spared anyway; tasks gather
+		// there and then on the fullest machine, so that others can go.
+		compareBool(!one.keeps(), !other.keeps()),
+		cmp.Compare(one.Free.MilliCPU, other.Free.MilliCPU),
 		cmp.Compare(one.ID, other.ID),
 	)
 	return order < 0
 }
 
+// keeps reports whether lasting tasks tie the worker to its pool.
+func (wk *Worker) keeps() bool { return wk.Serving+wk.Filling > 0 }
+
 // disturbance keeps tasks that fill away from tasks that serve.
 func (gr Group) disturbance(one, other *Worker) int {
 	switch {
 	case gr.Spec.Filling:
-		return cmp.Or(cmp.Compare(one.Serving, other.Serving), cmp.Compare(one.Filling, other.Filling))
-	case gr.Spec.Lasting && gr.Spec.Target > 0:
-		return cmp.Or(cmp.Compare(one.Filling, other.Filling), cmp.Compare(one.Serving, other.Serving))
+		return cmp.Compare(one.Serving, other.Serving)
+	case gr.Spec.Lasting:
+		return cmp.Compare(one.Filling, other.Filling)
 	}
 	return 0
 }
