feat: runs are stopped with their checkpoints before maintenance; lasting tasks stay apart

Cause: waves were up to three machines late: two lasting tasks of one step had been put on one machine, so its maintenance would always take too many away. Long tasks with checkpoints were killed by maintenance without one. Ruled out: an unplaced task (all were at work, traced).

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -43,7 +43,7 @@
 	Window = 600 * time.Millisecond
 	// Hold is how long a pool keeps what it needed last before machines stand
 	// by. Two moves cost about as much as a machine for two to three seconds.
-	Hold = 3 * time.Second
+	Hold = 2 * time.Second
 	// LendHold is the same for machines that another pool needs now: long
 	// enough to bridge the gap between two jobs.
 	LendHold = 500 * time.Millisecond
--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -156,9 +156,7 @@
 			}
 			if step.Lasting {
 				ld.Lasting += cpu * step.Count
-				if step.MaxPerWorker > 0 {
-					ld.Spread = max(ld.Spread, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
-				}
+				ld.Spread = max(ld.Spread, step.Spread())
 				continue
 			}
 			if fresh {
--- a/internal/job/owner/committer.go
+++ b/internal/job/owner/committer.go
@@ -129,25 +129,32 @@
 // Commit makes one change and waits for it. An error of KindBusy says that it
 // is certainly not made; any other error leaves that open.
 func (cm *Committer) Commit(ctx context.Context, ch store.Change) (store.Answer, error) {
+	answers, err := cm.commitAll(ctx, []store.Change{ch})
+	if err != nil {
+		return store.Answer{}, err
+	}
+	return answers[0], nil
+}
+
+// CommitAll is Commit for some changes, made in one step.
+func (cm *Committer) CommitAll(ctx context.Context, changes []store.Change) error {
+	_, err := cm.commitAll(ctx, changes)
+	return err
+}
+
+func (cm *Committer) commitAll(ctx context.Context, changes []store.Change) ([]store.Answer, error) {
 	type result struct {
-		answer store.Answer
-		err    error
+		answers []store.Answer
+		err     error
 	}
 	done := make(chan result, 1)
-	ok := cm.Submit([]store.Change{ch}, func(answers []store.Answer, err error) {
-		res := result{err: err}
-		if err == nil {
-			res.answer = answers[0]
-		}
-		done <- res
-	})
-	if !ok {
-		return store.Answer{}, &Error{Op: "commit", Kind: KindBusy}
+	if !cm.Submit(changes, func(answers []store.Answer, err error) { done <- result{answers, err} }) {
+		return nil, &Error{Op: "commit", Kind: KindBusy}
 	}
 	select {
 	case res := <-done:
-		return res.answer, res.err
+		return res.answers, res.err
 	case <-ctx.Done():
-		return store.Answer{}, ctx.Err()
+		return nil, ctx.Err()
 	}
 }
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -190,12 +190,13 @@
 		if !ok || md.busy[ca.machine] {
 			continue
 		}
-		if ca.work > 0 && now.Sub(since) < drainPatience {
+		if ca.work > 0 && (now.Sub(since) < drainPatience || ow.save(re, rd, ca.worker)) {
 			continue
 		}
 		if step, away := ow.blocked(re, rd, ca.worker); step != nil {
 			if now.Sub(since) > drainPatience && now.Sub(md.toldAt) > tellEvery {
 				md.toldAt = now
+				ow.spread(re, rd, ca.worker, *step)
 				_ = ow.Logger.Log("level", "info", "msg", "maintenance waits", "machine", ca.machine, "worker", ca.worker,
 					"wave", wv.Number, "job", step.Job, "step", step, "away", away)
 			}
@@ -210,6 +211,45 @@
 	}
 }
 
+// save stops what can resume elsewhere from where it is. It reports whether
+// such runs are left.
+func (ow *Owner) save(re *reign, rd store.Reader, id weir.InstanceID) bool {
+	left := false
+	for key := range rd.Runs(id) {
+		step := rd.Job(key.Task.Job).Spec.Steps[key.Task.Step]
+		if step.Checkpointing && !step.Lasting {
+			ow.evict(re, id, key)
+			left = true
+		}
+	}
+	return left
+}
+
+// spread stops one of several lasting tasks of a step at one worker, so that
+// it goes on elsewhere and the worker can do without the others.
+func (ow *Owner) spread(re *reign, rd store.Reader, id weir.InstanceID, step weir.TaskRef) {
+	var here []weir.RunKey
+	for key := range rd.Runs(id) {
+		if key.Task.StepRef() == step {
+			here = append(here, key)
+		}
+	}
+	if len(here) < 2 || ow.away(re, rd, id, step) > 0 {
+		return
+	}
+	ow.evict(re, id, here[0])
+}
+
+func (ow *Owner) evict(re *reign, id weir.InstanceID, key weir.RunKey) {
+	if re.evicted[key] {
+		return
+	}
+	re.evicted[key] = true
+	re.sessions[id].dirty = true
+	ow.Wake()
+	_ = ow.Logger.Log("level", "info", "msg", "run evicted", "job", key.Task.Job, "task", key.Task, "run", key.Run, "worker", id)
+}
+
 // intend commits that a machine is to be ordered about; the order follows once
 // the state says so.
 func (ow *Owner) intend(re *reign, op store.MachineOperation) {
@@ -273,24 +313,30 @@
 		}
 	}
 	for ref, here := range steps {
-		js := rd.Job(ref.Job)
-		away = here - 1
-		tasks := js.Rounds[ref.Occurrence][ref.Step].Tasks
-		for ix := range tasks {
-			tk := &tasks[ix]
-			task := ref
-			task.Index = ix
-			if tk.Worker != id && !ow.atWork(re, rd, weir.RunKey{Task: task, Run: tk.Run}, tk.Worker) {
-				away++
-			}
-		}
-		if away >= js.Spec.Steps[ref.Step].MaxAway {
+		away = here - 1 + ow.away(re, rd, id, ref)
+		if away >= rd.Job(ref.Job).Spec.Steps[ref.Step].MaxAway {
 			return &ref, away
 		}
 	}
 	return nil, 0
 }
 
+// away counts the tasks of a step that are neither at a worker nor at work
+// elsewhere.
+func (ow *Owner) away(re *reign, rd store.Reader, id weir.InstanceID, step weir.TaskRef) int {
+	count := 0
+	tasks := rd.Job(step.Job).Rounds[step.Occurrence][step.Step].Tasks
+	for ix := range tasks {
+		tk := &tasks[ix]
+		step.Index = ix
+		key := weir.RunKey{Task: step, Run: tk.Run}
+		if re.evicted[key] || (tk.Worker != id && !ow.atWork(re, rd, key, tk.Worker)) {
+			count++
+		}
+	}
+	return count
+}
+
 // atWork reports whether a lasting task works at a worker that no planned work
 // is about to end.
 func (ow *Owner) atWork(re *reign, rd store.Reader, key weir.RunKey, id weir.InstanceID) bool {
@@ -349,7 +395,7 @@
 			rd.EachWorker(func(wk store.Worker) {
 				if wk.Machine == order.Machine {
 					re.machines.gone[order.Machine] = wk.Born
-					changes = append(changes, store.Change{Leave: &store.Leave{ID: wk.ID, Born: wk.Born, Reason: "machine ordered away"}})
+					changes = append(changes, ow.leave(re, rd, wk, "machine ordered away")...)
 				}
 			})
 		})
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -100,6 +100,9 @@
 	avoid    map[weir.TaskRef]weir.InstanceID
 	pace     map[weir.InstanceID]*paced
 	machines *machineDuty
+	// evicted holds runs that are to be stopped, so that their tasks run
+	// elsewhere.
+	evicted map[weir.RunKey]bool
 }
 
 // attended is a session with its goroutine.
@@ -163,7 +166,7 @@
 	re := &reign{
 		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
 		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
-		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(),
+		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{},
 	}
 	ow.setReign(re)
 	defer ow.setReign(nil)
@@ -303,14 +306,15 @@
 // reconcile records what became of the runs at one worker.
 func (ow *Owner) reconcile(re *reign, id weir.InstanceID, at *attended, now time.Time) {
 	if at.ss.Lapsed(now) {
-		ow.dropWorker(at, now)
+		ow.dropWorker(re, at, now)
 		return
 	}
 	var placed []session.Placed
 	ow.Store.Read(func(rd store.Reader) {
 		for key := range rd.Runs(id) {
 			js := rd.Job(key.Task.Job)
-			placed = append(placed, session.Placed{Key: key, Wanted: !js.Phase.Over() && !js.Task(key.Task).Done})
+			wanted := !js.Phase.Over() && !js.Task(key.Task).Done && !re.evicted[key]
+			placed = append(placed, session.Placed{Key: key, Wanted: wanted})
 		}
 	})
 	out := at.ss.Reconcile(now, placed)
@@ -329,6 +333,7 @@
 		en := &out.Ends[ix]
 		changes[ix] = store.Change{End: en}
 		ow.noteEnd(re, id, *en, now)
+		delete(re.evicted, weir.RunKey{Task: en.Task, Run: en.Run})
 		metrics.GetOrCreateCounter(`weir_run_ends_total{how="` + string(en.How) + `"}`).Inc()
 		if en.How != store.EndDone {
 			_ = ow.Logger.Log("level", "info", "msg", "run ended", "job", en.Task.Job, "task", en.Task, "run", en.Run,
@@ -351,12 +356,50 @@
 }
 
 // dropWorker ends a life whose lease has surely lapsed.
-func (ow *Owner) dropWorker(at *attended, now time.Time) {
+func (ow *Owner) dropWorker(re *reign, at *attended, now time.Time) {
 	wk := at.worker
-	lv := store.Leave{ID: wk.ID, Born: wk.Born, Reason: "lease lapsed"}
-	_ = ow.Logger.Log("level", "warn", "msg", "worker given up", "worker", wk.ID, "reason", lv.Reason,
+	_ = ow.Logger.Log("level", "warn", "msg", "worker given up", "worker", wk.ID, "reason", "lease lapsed",
 		"announcedAgo", now.Sub(at.announced).String())
-	ow.Committer.Submit([]store.Change{{Leave: &lv}}, func([]store.Answer, error) {})
+	var changes []store.Change
+	ow.Store.Read(func(rd store.Reader) { changes = ow.leave(re, rd, wk, "lease lapsed") })
+	ow.Committer.Submit(changes, func([]store.Answer, error) {})
+}
+
+// leave returns the changes that end a worker's life. Runs that it listed with
+// a checkpoint keep it.
+func (ow *Owner) leave(re *reign, rd store.Reader, wk store.Worker, reason string) []store.Change {
+	var changes []store.Change
+	if at := re.sessions[wk.ID]; at != nil && at.worker.Born == wk.Born {
+		_, running := at.ss.Running()
+		for _, rt := range running {
+			if _, here := rd.Runs(wk.ID)[rt.RunKey]; here && rt.Checkpoint != "" {
+				changes = append(changes, store.Change{End: &store.End{
+					Task: rt.Task, Run: rt.Run, How: store.EndLost, Checkpoint: rt.Checkpoint,
+				}})
+			}
+		}
+	}
+	return append(changes, store.Change{Leave: &store.Leave{ID: wk.ID, Born: wk.Born, Reason: reason}})
+}
+
+// Departed ends a worker's life on its own word. It reports false where this
+// process does not lead, or knows no such worker.
+func (ow *Owner) Departed(ctx context.Context, id weir.InstanceID) (bool, error) {
+	ow.mu.Lock()
+	re := ow.reign
+	var changes []store.Change
+	if re != nil {
+		ow.Store.Read(func(rd store.Reader) {
+			if wk, ok := rd.Worker(id); ok {
+				changes = ow.leave(re, rd, wk, "departed")
+			}
+		})
+	}
+	ow.mu.Unlock()
+	if len(changes) == 0 {
+		return false, nil
+	}
+	return true, ow.Committer.CommitAll(ctx, changes)
 }
 
 const forgetBatch = 64
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -149,13 +149,20 @@
 // commit makes a change and returns what to reply where that fails.
 func (sv *Service) commit(ctx context.Context, ch store.Change) (store.Answer, *jobapi.Reply) {
 	ans, err := sv.Committer.Commit(ctx, ch)
-	switch {
-	case err == nil:
-		return ans, nil
-	case fault.Is(err, owner.KindBusy) || fault.Is(err, node.KindBusy) || fault.Is(err, node.KindNotLeader):
-		return ans, &jobapi.Reply{Outcome: jobapi.Unavailable, Reason: err.Error(), RetryAfter: retryUnavailable}
+	if err != nil {
+		rep := failure(err)
+		return ans, &rep
+	}
+	return ans, nil
+}
+
+// failure is the reply to a call whose change was not committed, or perhaps
+// not.
+func failure(err error) jobapi.Reply {
+	if fault.Is(err, owner.KindBusy) || fault.Is(err, node.KindBusy) || fault.Is(err, node.KindNotLeader) {
+		return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: err.Error(), RetryAfter: retryUnavailable}
 	}
-	return ans, &jobapi.Reply{Outcome: jobapi.Unknown, Reason: err.Error()}
+	return jobapi.Reply{Outcome: jobapi.Unknown, Reason: err.Error()}
 }
 
 // noCatalog is the answer before the first configuration.
@@ -312,19 +319,11 @@
 
 // depart ends a worker's life on its own word.
 func (sv *Service) depart(ctx context.Context, call jobapi.Call) jobapi.Reply {
-	var born int64
-	sv.Store.Read(func(rd store.Reader) {
-		wk, _ := rd.Worker(call.Worker.ID)
-		born = wk.Born
-	})
-	if born == 0 {
-		return jobapi.Reply{Outcome: jobapi.OK, Reason: "unknown"}
-	}
-	lv := store.Leave{ID: call.Worker.ID, Born: born, Reason: "departed"}
-	if _, failed := sv.commit(ctx, store.Change{Leave: &lv}); failed != nil {
-		return *failed
+	known, err := sv.Owner.Departed(ctx, call.Worker.ID)
+	if err != nil {
+		return failure(err)
 	}
-	_ = sv.Logger.Log("level", "info", "msg", "worker departed", "worker", lv.ID)
+	_ = sv.Logger.Log("level", "info", "msg", "worker departed", "worker", call.Worker.ID, "known", known)
 	sv.Owner.WakeAll()
 	return jobapi.Reply{Outcome: jobapi.OK}
 }
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -111,6 +111,19 @@
 	return st.Need
 }
 
+// Spread is the number of workers that the step's tasks should be on, so that
+// each worker may go without more tasks away than allowed; 0 is no wish.
+func (st Step) Spread() int {
+	most := st.MaxPerWorker
+	if st.MaxAway > 0 && (most == 0 || st.MaxAway < most) {
+		most = st.MaxAway
+	}
+	if most == 0 {
+		return 0
+	}
+	return (st.Count + most - 1) / most
+}
+
 // Job is what a caller submitted.
 type Job struct {
 	ID ID `json:"id"`
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -203,7 +203,7 @@
 		if !wk.accepts(gr, on) {
 			continue
 		}
-		if best == nil || better(gr, tk, rack, wk, best) {
+		if best == nil || better(gr, tk, on, rack, wk, best) {
 			best = wk
 		}
 	}
@@ -211,10 +211,11 @@
 }
 
 // better reports whether one worker is a better place than another.
-func better(gr Group, tk Task, rack string, one, other *Worker) bool {
+func better(gr Group, tk Task, on map[weir.InstanceID]int, rack string, one, other *Worker) bool {
 	order := cmp.Or(
 		compareBool(one.Suspect || one.ID == tk.Avoid, other.Suspect || other.ID == tk.Avoid),
 		compareBool(rack != "" && one.Rack != rack, rack != "" && other.Rack != rack),
+		gr.together(on, one, other),
 		gr.disturbance(one, other),
 		// Machines with lasting tasks cannot be spared anyway; tasks gather
 		// there and then on the fullest machine, so that others can go.
@@ -225,6 +226,15 @@
 	return order < 0
 }
 
+// together keeps lasting tasks of one step apart, since a worker's maintenance
+// takes all of them away at once.
+func (gr Group) together(on map[weir.InstanceID]int, one, other *Worker) int {
+	if !gr.Spec.Lasting {
+		return 0
+	}
+	return cmp.Compare(on[one.ID], on[other.ID])
+}
+
 // keeps reports whether lasting tasks tie the worker to its pool.
 func (wk *Worker) keeps() bool { return wk.Serving+wk.Filling > 0 }
 
--- /dev/null
+++ b/internal/schedule/plan/plan_test.go
@@ -0,0 +1,132 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+func worker(id string, cores int) Worker {
+	return Worker{ID: weir.InstanceID(id), Born: 1, Pool: "desk", Rack: "r-" + id, Free: spec.Need{MilliCPU: cores * 1000, MemoryMB: 100_000}}
+}
+
+func group(job string, step spec.Step, edit ...func(gr *Group)) Group {
+	gr := Group{
+		Step: weir.TaskRef{Job: weir.JobID(job)}, Spec: step, Pool: "desk",
+		StartBy: testNow.Add(time.Second), On: map[weir.InstanceID]int{},
+	}
+	for ix := range step.Count {
+		gr.Tasks = append(gr.Tasks, Task{Index: ix, Run: 1})
+	}
+	for _, ed := range edit {
+		ed(&gr)
+	}
+	return gr
+}
+
+func cores(count int) spec.Need { return spec.Need{MilliCPU: count * 1000, MemoryMB: 10} }
+
+// counts tells how many tasks of each job went to each worker.
+func counts(placements []Placement) map[string]int {
+	out := map[string]int{}
+	for _, pl := range placements {
+		out[fmt.Sprintf("%s on %s", pl.Task.Job, pl.Worker)]++
+	}
+	return out
+}
+
+func TestPlace(t *testing.T) {
+	cases := map[string]struct {
+		groups  []Group
+		workers []Worker
+		want    map[string]int
+	}{
+		"no more than fits": {
+			[]Group{group("a", spec.Step{Count: 9, Need: cores(2)})},
+			[]Worker{worker("w1", 4), worker("w2", 5)},
+			map[string]int{"a on w1": 2, "a on w2": 2},
+		},
+		"urgent before late, late before nothing": {
+			[]Group{
+				group("late", spec.Step{Count: 1, Need: cores(4)}, func(gr *Group) { gr.StartBy = testNow.Add(-time.Second) }),
+				group("soon", spec.Step{Count: 1, Need: cores(4)}),
+			},
+			[]Worker{worker("w1", 4)},
+			map[string]int{"soon on w1": 1},
+		},
+		"priority 0 first": {
+			[]Group{
+				group("second", spec.Step{Count: 1, Need: cores(4)}, func(gr *Group) { gr.Priority = 1 }),
+				group("first", spec.Step{Count: 1, Need: cores(4)}, func(gr *Group) { gr.StartBy = testNow.Add(time.Hour) }),
+			},
+			[]Worker{worker("w1", 4)},
+			map[string]int{"first on w1": 1},
+		},
+		"lasting tasks of a step stay apart": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(1), Lasting: true, MaxAway: 1})},
+			[]Worker{worker("w1", 8), worker("w2", 64)},
+			map[string]int{"a on w1": 1, "a on w2": 1},
+		},
+		"a bound on tasks of a step on one worker": {
+			[]Group{group("a", spec.Step{Count: 3, Need: cores(1), MaxPerWorker: 1}, func(gr *Group) { gr.On["w2"] = 1 })},
+			[]Worker{worker("w1", 8), worker("w2", 64)},
+			map[string]int{"a on w1": 1},
+		},
+		"a gang wholly or not at all": {
+			[]Group{
+				group("gang", spec.Step{Count: 3, Need: cores(2), Gang: true}),
+				group("other", spec.Step{Count: 1, Need: cores(4)}, func(gr *Group) { gr.StartBy = testNow.Add(time.Minute) }),
+			},
+			[]Worker{worker("w1", 4)},
+			map[string]int{"other on w1": 1},
+		},
+		"a label": {
+			[]Group{group("a", spec.Step{Count: 1, Need: cores(1), Label: "b"})},
+			[]Worker{worker("w1", 4), func() Worker { wk := worker("w2", 4); wk.Kind = "b"; return wk }()},
+			map[string]int{"a on w2": 1},
+		},
+		"near its data": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(2), DataRack: "r-w2"})},
+			[]Worker{worker("w1", 64), worker("w2", 2)},
+			map[string]int{"a on w2": 1, "a on w1": 1},
+		},
+		"on one rack": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(2), OneRack: true})},
+			[]Worker{worker("w1", 2), worker("w2", 4)},
+			map[string]int{"a on w2": 2},
+		},
+		"a suspect worker last": {
+			[]Group{group("a", spec.Step{Count: 1, Need: cores(1)})},
+			[]Worker{func() Worker { wk := worker("w1", 2); wk.Suspect = true; return wk }(), worker("w2", 64)},
+			map[string]int{"a on w2": 1},
+		},
+		"tasks that fill take no processor, and keep away from those that serve": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(8), Filling: true, Lasting: true})},
+			[]Worker{worker("w1", 1), worker("w2", 1), func() Worker { wk := worker("w3", 64); wk.Serving = 1; return wk }()},
+			map[string]int{"a on w1": 1, "a on w2": 1},
+		},
+		"gathered where lasting tasks are": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(1)})},
+			[]Worker{worker("w1", 2), func() Worker { wk := worker("w2", 64); wk.Serving = 1; return wk }()},
+			map[string]int{"a on w2": 2},
+		},
+		"another pool's workers are not used": {
+			[]Group{group("a", spec.Step{Count: 1, Need: cores(1)}, func(gr *Group) { gr.Pool = "lab" })},
+			[]Worker{worker("w1", 2)},
+			map[string]int{},
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tc.want, counts(Place(testNow, tc.groups, tc.workers)))
+		})
+	}
+}
