fix: the leader goes on when a spare becomes a voter; machines are looked at under load

Ruled out: lack of idle machines alone (donors are now cleared too). Change: a spare counts with the disk that the set names; the pause after an election holds for machines whose last order is recent; machines are looked at whenever no plan is under way; reports are dated on arrival; leases of 3 s and elections of 450 ms; calls that had no effect are refused after 0.7 s.

--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -30,12 +30,12 @@
 	// logHeartbeat and logElection set how soon a new leader is found: an
 	// election takes one to two election timeouts, well within a lease, and a
 	// member that stands still for 300 ms keeps its place.
-	logHeartbeat = 100 * time.Millisecond
-	logElection  = 600 * time.Millisecond
-	// workerLease is how long a worker goes on without its leader: longer than
-	// an election with the renewals after it, as short as that allows, since a
-	// lost worker's tasks wait for it.
-	workerLease = 4 * time.Second
+	logHeartbeat = 80 * time.Millisecond
+	logElection  = 450 * time.Millisecond
+	// workerLease is how long a worker goes on without its leader: a renewal
+	// that was due, an election and the first renewal after it fit in, with
+	// half a second to spare. A lost worker's tasks wait for its end.
+	workerLease = 3 * time.Second
 	// turnMargin is added to the platform's least time between two leaders'
 	// orders for one machine.
 	turnMargin = 500 * time.Millisecond
@@ -84,6 +84,7 @@
 	lks := &links.Links{Self: self, Token: peerToken, Logger: lg}
 	str := store.New()
 	steady, wall := clock.Steady{}, clock.Wall{}
+	str.Clock = steady
 	nod := &node.Node{
 		ID: self.ID, Dir: st.DataDir, Machine: str, Send: lks.Send, Clock: steady, Logger: lg,
 		Heartbeat: logHeartbeat, Election: logElection, SnapshotEvery: snapshotEvery,
--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -123,25 +123,57 @@
 			return cmp.Or(cmp.Compare(one.Work, other.Work), cmp.Compare(one.Name, other.Name))
 		})
 	}
+	lack := 0
 	for {
-		needy := ba.mostNeedy()
-		if needy < 0 || !ba.supply(ba.pools[needy].Name) {
+		needy, short := ba.mostNeedy()
+		if needy < 0 {
+			break
+		}
+		if !ba.supply(ba.pools[needy].Name) {
+			lack = short
 			break
 		}
 	}
+	ba.clear(lack)
 	ba.release()
 	return ba.decision
 }
 
-// mostNeedy returns the pool that lacks most, -1 where none does.
-func (ba *balancer) mostNeedy() int {
-	best, lack := -1, 0
+// mostNeedy returns the pool that lacks most machines, -1 where none does.
+func (ba *balancer) mostNeedy() (best, lack int) {
+	best = -1
 	for ix, po := range ba.pools {
 		if short := po.Want - len(ba.byPool[po.Name]); !po.Standby && short > lack {
 			best, lack = ix, short
 		}
 	}
-	return best
+	return best, lack
+}
+
+// clear keeps machines of pools with some to spare free of new tasks, so that
+// they can go to a pool that lacks them once they are idle.
+func (ba *balancer) clear(lack int) {
+	for lack > 0 {
+		donor, most := -1, 0
+		for ix, po := range ba.pools {
+			if spare := len(ba.byPool[po.Name]) - po.Lend; spare > most && ba.busy(po.Name) >= 0 {
+				donor, most = ix, spare
+			}
+		}
+		if donor < 0 {
+			return
+		}
+		pool := ba.pools[donor].Name
+		at := ba.busy(pool)
+		ba.decision.Leaving = append(ba.decision.Leaving, ba.byPool[pool][at].Name)
+		ba.byPool[pool] = slices.Delete(ba.byPool[pool], at, at+1)
+		lack--
+	}
+}
+
+// busy returns the least busy machine of a pool that could go, or -1.
+func (ba *balancer) busy(pool weir.PoolName) int {
+	return slices.IndexFunc(ba.byPool[pool], func(mc Machine) bool { return mc.Free && mc.Work > 0 })
 }
 
 // supply sends one machine to a pool; it reports false where none can go.
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -29,9 +29,11 @@
 	tryTimeout = 700 * time.Millisecond
 	// retryPause separates rounds over all processes.
 	retryPause = 60 * time.Millisecond
-	// patience bounds the tries for a call that cannot be placed; an election
-	// takes about a second.
-	patience = 1800 * time.Millisecond
+	// patience bounds the tries for a call that certainly had no effect: the
+	// caller is told soon, and may have more luck at another instance. A call
+	// that may have had an effect is tried for as long as the caller waits,
+	// since the caller cannot tell either.
+	patience = 700 * time.Millisecond
 	// retryAfter is told to callers while no leader can be reached.
 	retryAfter = time.Second
 )
@@ -70,7 +72,7 @@
 				break
 			}
 		}
-		if ctx.Err() != nil || !rl.Clock.Now().Add(retryPause).Before(until) {
+		if ctx.Err() != nil || (!open && !rl.Clock.Now().Add(retryPause).Before(until)) {
 			return rl.giveUp(call, open, reason)
 		}
 		timer := time.NewTimer(retryPause)
--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -184,11 +184,14 @@
 		if name == "" {
 			continue
 		}
+		at := re.sessions[wk.ID]
+		if at == nil || at.ss.Failing() || wk.Draining {
+			continue // it serves nobody now
+		}
 		mc := balance.Machine{Name: name, Pool: wk.Pool, Leaving: md.leaving[name]}
 		ca := ow.candidate(re, rd, name, wk)
 		mc.Work = ca.work
-		at := re.sessions[wk.ID]
-		mc.Free = ca.lasting == 0 && !wk.Draining && at != nil && at.ss.Usable() && !md.engaged(rd, name)
+		mc.Free = ca.lasting == 0 && at.ss.Usable() && !md.engaged(rd, name) && ow.myTurn(re, rd, name, now)
 		if op, ok := rd.Order(name); ok && op.Pool != "" {
 			mc.Pool = op.Pool
 		}
@@ -198,7 +201,7 @@
 		if _, ok := byMachine[name]; ok {
 			continue
 		}
-		mc := balance.Machine{Name: name, Pool: listed.Pool, Free: listed.State == weir.MachineUp && !md.engaged(rd, name)}
+		mc := balance.Machine{Name: name, Pool: listed.Pool, Free: listed.State == weir.MachineUp && !md.engaged(rd, name) && ow.myTurn(re, rd, name, now)}
 		if po, ok := rd.Catalog().PoolByName(listed.Pool); !ok || !po.Standby {
 			// Without a worker a machine of another pool is on its way or lost.
 			mc.Free = false
--- a/internal/job/owner/health.go
+++ b/internal/job/owner/health.go
@@ -29,11 +29,15 @@
 	failures  int // in a row
 	restUntil time.Time
 	rest      time.Duration
+	// slowUntil is until when the worker is used only for want of others.
+	slowUntil time.Time
 }
 
 func (hl *health) resting(now time.Time) bool { return hl != nil && now.Before(hl.restUntil) }
 
-func (hl *health) suspect(time.Time) bool { return hl != nil && hl.failures >= suspectAfter }
+func (hl *health) suspect(now time.Time) bool {
+	return hl != nil && (hl.failures >= suspectAfter || now.Before(hl.slowUntil))
+}
 
 func (re *reign) healthOf(id weir.InstanceID) *health {
 	hl := re.health[id]
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -48,6 +48,8 @@
 	needs map[weir.PoolName][]needed
 	// intent holds machines whose operation is being committed.
 	intent map[string]bool
+	// mine holds the machines that this leader has ordered about.
+	mine map[string]bool
 	// answered is when the last order about a machine was accepted.
 	answered map[string]time.Time
 	// gone holds the worker life that an operation has ended.
@@ -58,7 +60,7 @@
 	return &machineDuty{
 		cordon: map[string]time.Time{}, asked: map[string]time.Time{}, busy: map[string]bool{},
 		leaving: map[string]bool{}, listed: map[string]weir.Machine{}, sent: map[string]sentTo{},
-		needs: map[weir.PoolName][]needed{}, intent: map[string]bool{}, answered: map[string]time.Time{}, gone: map[string]int64{},
+		needs: map[weir.PoolName][]needed{}, intent: map[string]bool{}, mine: map[string]bool{}, answered: map[string]time.Time{}, gone: map[string]int64{},
 	}
 }
 
@@ -97,9 +99,6 @@
 		return
 	}
 	ow.list(ctx, re, now)
-	if now.Sub(re.since) < ow.OrderPause || re.planning {
-		return
-	}
 	md := re.machines
 	var orders []weir.MachineOrder
 	ow.Store.Read(func(rd store.Reader) {
@@ -125,12 +124,26 @@
 	}
 }
 
+// myTurn reports whether this leader may order a machine about: it did so
+// last, or an earlier leader's last order is long enough ago. An order that
+// is not known to be done may have been repeated until the election.
+func (ow *Owner) myTurn(re *reign, rd store.Reader, machine string, now time.Time) bool {
+	if re.machines.mine[machine] {
+		return true
+	}
+	last := rd.OrderedAt(machine)
+	if _, open := rd.Order(machine); open && last.Before(re.since) {
+		last = re.since
+	}
+	return now.Sub(last) >= ow.OrderPause
+}
+
 // unanswered lists the orders that are committed and not known to be done.
 func (ow *Owner) unanswered(re *reign, rd store.Reader, now time.Time) []weir.MachineOrder {
 	md := re.machines
 	var orders []weir.MachineOrder
 	rd.EachOrder(func(op store.MachineOperation) {
-		if !md.busy[op.Machine] && now.Sub(md.asked[op.Machine]) >= machineRetry {
+		if !md.busy[op.Machine] && now.Sub(md.asked[op.Machine]) >= machineRetry && ow.myTurn(re, rd, op.Machine, now) {
 			orders = append(orders, weir.MachineOrder{
 				Machine: op.Machine, Holder: ow.HolderName, Token: re.term, Wave: op.Wave, Pool: op.Pool,
 			})
@@ -187,7 +200,7 @@
 			break
 		}
 		since, ok := md.cordon[ca.machine]
-		if !ok || md.busy[ca.machine] {
+		if !ok || md.busy[ca.machine] || !ow.myTurn(re, rd, ca.machine, now) {
 			continue
 		}
 		if ca.work > 0 && (now.Sub(since) < drainPatience || ow.save(re, rd, ca.worker)) {
@@ -255,6 +268,7 @@
 func (ow *Owner) intend(re *reign, op store.MachineOperation) {
 	md := re.machines
 	md.intent[op.Machine] = true
+	md.mine[op.Machine] = true
 	done := func([]store.Answer, error) {
 		ow.mu.Lock()
 		delete(md.intent, op.Machine)
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -96,13 +96,17 @@
 	sessions map[weir.InstanceID]*attended
 	// planning says that starts are being committed.
 	planning bool
-	health   map[weir.InstanceID]*health
-	avoid    map[weir.TaskRef]weir.InstanceID
-	pace     map[weir.InstanceID]*paced
-	machines *machineDuty
+	// maintained is when machines were looked at last.
+	maintained time.Time
+	health     map[weir.InstanceID]*health
+	avoid      map[weir.TaskRef]weir.InstanceID
+	pace       map[weir.InstanceID]*paced
+	machines   *machineDuty
 	// evicted holds runs that are to be stopped, so that their tasks run
 	// elsewhere.
 	evicted map[weir.RunKey]bool
+	// watched holds the progress of runs.
+	watched map[weir.RunKey]progress
 }
 
 // attended is a session with its goroutine.
@@ -166,7 +170,7 @@
 	re := &reign{
 		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
 		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
-		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{},
+		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{}, watched: map[weir.RunKey]progress{},
 	}
 	ow.setReign(re)
 	defer ow.setReign(nil)
@@ -249,9 +253,15 @@
 	}
 	if all {
 		ow.paceAll(re)
-		ow.maintain(ctx, re, now)
+		ow.watch(re, now)
 		ow.forget(now)
 	}
+	// Machines are judged by what runs there, so not while starts are being
+	// committed.
+	if !re.planning && now.Sub(re.maintained) >= roundEvery {
+		re.maintained = now
+		ow.maintain(ctx, re, now)
+	}
 	ow.place(re, now)
 }
 
--- a/internal/job/owner/pace.go
+++ b/internal/job/owner/pace.go
@@ -53,7 +53,7 @@
 }
 
 func (ow *Owner) paceWorker(re *reign, rd store.Reader, id weir.InstanceID, at *attended) {
-	asked, running := at.ss.Running()
+	arrived, running := at.ss.Running()
 	worst := 0.0
 	var filling []weir.RunKey
 	for _, rt := range running {
@@ -78,8 +78,8 @@
 		pc = &paced{percent: paceFull, sent: map[weir.RunKey]int{}}
 		re.pace[id] = pc
 	}
-	if asked.After(pc.decided) {
-		pc.decided = asked
+	if arrived.After(pc.decided) {
+		pc.decided = arrived
 		was := pc.percent
 		pc.percent = pc.next(worst)
 		if was != pc.percent {
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -84,3 +84,13 @@
 		do(*op)
 	}
 }
+
+// OrderedAt returns when this member learned last of an order for a machine.
+// An order in a snapshot counts from when that was taken over.
+func (rd Reader) OrderedAt(machine string) time.Time {
+	at := rd.sr.orderedAt[machine]
+	if at.Before(rd.sr.restoredAt) {
+		return rd.sr.restoredAt
+	}
+	return at
+}
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -21,6 +21,8 @@
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/duty/invariant"
 	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
 )
 
 // Kind tells the errors of this package apart.
@@ -46,14 +48,21 @@
 
 // Store is the state machine. It is safe for concurrent use.
 type Store struct {
-	mu sync.RWMutex
-	st *state
 	// Applied is called after each entry, outside the lock; it may be nil.
 	Applied func()
+	// Clock dates orders for machines on this member; nil dates nothing.
+	Clock weir.Clock
+
+	mu sync.RWMutex
+	st *state
+	// orderedAt is when this member learned last of an order for a machine,
+	// and restoredAt when it learned of all those in a snapshot.
+	orderedAt  map[string]time.Time
+	restoredAt time.Time
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{st: newState()} }
+func New() *Store { return &Store{st: newState(), orderedAt: map[string]time.Time{}} }
 
 // Encode returns the entry as the log keeps it.
 func (en Entry) Encode() ([]byte, error) {
@@ -77,6 +86,9 @@
 	sr.st.Index = index
 	for ix := range en.Changes {
 		answers[ix] = sr.st.apply(en.At, &en.Changes[ix])
+		if op := en.Changes[ix].Machine; op != nil && sr.Clock != nil {
+			sr.orderedAt[op.Machine] = sr.Clock.Now()
+		}
 	}
 	sr.mu.Unlock()
 	if sr.Applied != nil {
@@ -113,6 +125,9 @@
 	st.index()
 	sr.mu.Lock()
 	sr.st = st
+	if sr.Clock != nil {
+		sr.restoredAt = sr.Clock.Now()
+	}
 	sr.mu.Unlock()
 	if sr.Applied != nil {
 		sr.Applied()
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -91,11 +91,14 @@
 }
 
 // Reader reads one consistent state, for the time of Store.Read.
-type Reader struct{ st *state }
+type Reader struct {
+	st *state
+	sr *Store
+}
 
 // Read calls a function with the present state; it must not block.
 func (sr *Store) Read(read func(rd Reader)) {
 	sr.mu.RLock()
 	defer sr.mu.RUnlock()
-	read(Reader{st: sr.st})
+	read(Reader{st: sr.st, sr: sr})
 }
--- a/internal/state/replica/append.go
+++ b/internal/state/replica/append.go
@@ -187,7 +187,7 @@
 		if !co.isMember(id) {
 			continue
 		}
-		if pr.learner {
+		if !co.counts(id, pr) {
 			matches = append(matches, 0)
 			continue
 		}
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -133,7 +133,7 @@
 func (co *Core) quorumHeard(now time.Time) bool {
 	heard := 1
 	for id, pr := range co.progress {
-		if co.isMember(id) && !pr.learner && now.Sub(pr.heard) < co.Election {
+		if co.counts(id, pr) && now.Sub(pr.heard) < co.Election {
 			heard++
 		}
 	}
@@ -152,7 +152,7 @@
 	}
 	heard := make([]time.Time, 0, len(co.progress))
 	for id, pr := range co.progress {
-		if co.isMember(id) && !pr.learner {
+		if co.counts(id, pr) {
 			heard = append(heard, pr.heard)
 		}
 	}
--- a/internal/state/replica/members.go
+++ b/internal/state/replica/members.go
@@ -94,6 +94,13 @@
 	return co.hard.Learner && co.voters()[co.ID] != co.hard.Disk
 }
 
+// counts reports whether a follower counts for a majority: it is a voter, and
+// either no learner or admitted with the disk that it has.
+func (co *Core) counts(id string, pr *progress) bool {
+	disk, voter := co.voters()[id]
+	return voter && (!pr.learner || (disk != "" && disk == pr.disk))
+}
+
 func (co *Core) quorum() int { return len(co.voters())/2 + 1 }
 
 func (co *Core) otherVoters() []string {
--- a/internal/state/replica/members_test.go
+++ b/internal/state/replica/members_test.go
@@ -80,12 +80,16 @@
 		}
 	}
 	pass(20)
+	term := cl.peers[cl.leader()].core.Status().Term
 	require.NoError(t, cl.change(t, func(voters map[string]string, core *Core) {
 		disk, ready := core.SpareReady("c4")
 		require.True(t, ready)
 		voters["c4"] = disk
 	}))
+	// The leader counts the spare from now on, before it has said a word.
+	cl.peers[cl.leader()].core.Tick(cl.now)
 	pass(20)
+	require.Equal(t, term, cl.peers[cl.leader()].core.Status().Term, "the leader goes on")
 	require.NoError(t, cl.change(t, func(voters map[string]string, _ *Core) { delete(voters, lost) }))
 	pass(20)
 	require.Len(t, cl.voters(), 3)
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -78,6 +78,7 @@
 // report is the last answer to a renewal.
 type report struct {
 	sentAt  time.Time
+	recvAt  time.Time
 	running map[weir.RunKey]weir.RunningTask
 	whole   bool
 }
@@ -260,7 +261,7 @@
 	if sentAt.Before(ss.last.sentAt) {
 		return fresh
 	}
-	ss.last = report{sentAt: sentAt, running: make(map[weir.RunKey]weir.RunningTask, len(rep.Running)), whole: len(rep.Ends) < maxEnds}
+	ss.last = report{sentAt: sentAt, recvAt: ss.Clock.Now(), running: make(map[weir.RunKey]weir.RunningTask, len(rep.Running)), whole: len(rep.Ends) < maxEnds}
 	for _, rt := range rep.Running {
 		ss.last.running[rt.RunKey] = rt
 		if rn := ss.runs[rt.RunKey]; rn != nil {
@@ -345,6 +346,13 @@
 	return !ss.basisSent.IsZero() && ss.failingAt.IsZero() && !ss.otherLife
 }
 
+// Failing reports whether the worker does not answer.
+func (ss *Session) Failing() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return !ss.failingAt.IsZero()
+}
+
 // Lapsed reports whether the worker does not answer and every lease that it
 // was given has surely lapsed, so that nothing runs there any more.
 func (ss *Session) Lapsed(now time.Time) bool {
@@ -353,15 +361,15 @@
 	return !ss.failingAt.IsZero() && now.After(ss.lapsesBy)
 }
 
-// Running returns what the worker listed last, and when that was asked for.
-func (ss *Session) Running() (asked time.Time, running []weir.RunningTask) {
+// Running returns what the worker listed last, and when that arrived.
+func (ss *Session) Running() (arrived time.Time, running []weir.RunningTask) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	running = make([]weir.RunningTask, 0, len(ss.last.running))
 	for _, rt := range ss.last.running {
 		running = append(running, rt)
 	}
-	return ss.last.sentAt, running
+	return ss.last.recvAt, running
 }
 
 // AtWork reports whether the worker answers and lists a lasting task at full
