fix: a worker that does not answer gets no further lease

Each unanswered renewal counted as a lease that may have arrived, so the time when nothing runs there any more was put off for ever; only a later leader, which had never heard of the worker, gave it up. Ruled out: cordons and rests (other tasks were placed in that pool). Change: renewals to a worker that does not answer extend nothing. Figures: TestSilentWorkerLapsesAndNotBeforeItsLease fails before and passes after.

--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -175,9 +175,11 @@
 	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.recorded, Wait: renewWait}
 	first := ss.basisSent.IsZero()
 	if first || !ss.failingAt.IsZero() {
+		// No lease on a clock that is not known, and none to a worker that does
+		// not answer: it may have arrived all the same, and would put off for
+		// ever the time when nothing runs there any more.
 		order.Wait = 0
-	}
-	if !first {
+	} else {
 		order.Until = ss.grant(sentAt)
 	}
 	ss.mu.Unlock()
@@ -501,7 +503,7 @@
 func (ss *Session) sendStart(ctx context.Context, order weir.RunOrder) {
 	ss.mu.Lock()
 	rn := ss.runs[order.RunKey]
-	skip := rn == nil || rn.unwanted || ss.otherLife
+	skip := rn == nil || rn.unwanted || ss.otherLife || !ss.failingAt.IsZero()
 	sentAt := ss.Clock.Now()
 	if !skip {
 		rn.sentAt = sentAt
--- /dev/null
+++ b/internal/task/session/session_test.go
@@ -0,0 +1,147 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/job/store"
+
+	weir "greengageweir"
+)
+
+const testLease = 3 * time.Second
+
+// fakeWorker answers renewals from its own clock until it falls silent.
+type fakeWorker struct {
+	weir.TaskWorkers
+
+	mu     sync.Mutex
+	clk    *clock.Manual
+	silent bool
+	until  time.Duration
+	// answered is the worker's clock at its last answer.
+	answered time.Duration
+	reports  weir.WorkerReport
+	stops    []weir.RunKey
+	starts   []weir.RunKey
+}
+
+func (fw *fakeWorker) clock() time.Duration { return fw.clk.Now().Sub(time.Unix(0, 0)) }
+
+func (fw *fakeWorker) Renew(_ context.Context, _ weir.WorkerLife, order weir.RenewOrder) (weir.WorkerReport, error) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	// An order without an answer may still be carried out.
+	fw.until = max(fw.until, order.Until)
+	if fw.silent {
+		return weir.WorkerReport{}, errors.New("silent")
+	}
+	rep := fw.reports
+	rep.Clock = fw.clock()
+	fw.answered = rep.Clock
+	return rep, nil
+}
+
+func (fw *fakeWorker) Start(_ context.Context, _ weir.WorkerLife, order weir.RunOrder) (weir.OrderAnswer, error) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.starts = append(fw.starts, order.RunKey)
+	return weir.OrderAnswer{Clock: fw.clock()}, nil
+}
+
+func (fw *fakeWorker) Stop(_ context.Context, _ weir.WorkerLife, key weir.RunKey, _ uint64) (weir.OrderAnswer, error) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	fw.stops = append(fw.stops, key)
+	return weir.OrderAnswer{Clock: fw.clock()}, nil
+}
+
+type always struct{}
+
+func (always) Leads() bool { return true }
+
+func newSession(t *testing.T) (*Session, *fakeWorker) {
+	clk := clock.NewManual(time.Unix(100, 0))
+	fw := &fakeWorker{clk: clk}
+	ss := &Session{
+		Life: weir.WorkerLife{ID: "w1", Born: 1, Address: "w1"}, Token: 7, Lease: testLease, Workers: fw, Leads: always{},
+		Clock: clk, Changed: func() {},
+	}
+	require.NoError(t, ss.Default())
+	return ss, fw
+}
+
+func TestSilentWorkerLapsesAndNotBeforeItsLease(t *testing.T) {
+	ctx := context.Background()
+	ss, fw := newSession(t)
+	require.True(t, ss.renew(ctx))
+	require.True(t, ss.renew(ctx))
+	fw.silent = true
+	for range 100 {
+		fw.clk.Advance(100 * time.Millisecond)
+		ss.renew(ctx)
+		if ss.Lapsed(fw.clk.Now()) {
+			break
+		}
+	}
+	require.True(t, ss.Lapsed(fw.clk.Now()), "renewals that are not answered must not put it off for ever")
+	slow := fw.answered + time.Duration(float64(fw.clock()-fw.answered)*clockSlack)
+	require.Greater(t, slow, fw.until, "also on a clock that is 2 % slow the lease is over")
+}
+
+func TestAnsweringWorkerNeverLapses(t *testing.T) {
+	ss, fw := newSession(t)
+	for range 100 {
+		ss.renew(context.Background())
+		fw.clk.Advance(time.Second)
+		require.False(t, ss.Lapsed(fw.clk.Now()))
+	}
+}
+
+func TestEndsAreHandedOutUntilTheyAreRecorded(t *testing.T) {
+	ctx := context.Background()
+	ss, fw := newSession(t)
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	fw.reports.Ends = []weir.RunEnd{{RunKey: key, Number: 1, How: string(store.EndDone)}}
+	require.True(t, ss.takeReport(fw.clk.Now(), fw.reports))
+	placed := []Placed{{Key: key, Wanted: true}}
+	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 1)
+	require.Empty(t, ss.Reconcile(fw.clk.Now(), placed).Ends, "it is being recorded")
+	ss.NotRecorded()
+	out := ss.Reconcile(fw.clk.Now(), placed)
+	require.Len(t, out.Ends, 1)
+	ss.Recorded(out.Number)
+	require.False(t, ss.takeReport(fw.clk.Now(), fw.reports), "listed again, known already")
+	ss.renew(ctx)
+	require.Empty(t, ss.Reconcile(fw.clk.Now(), nil).Ends)
+}
+
+func TestUnknownRunIsStopped(t *testing.T) {
+	ss, fw := newSession(t)
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	fw.reports.Running = []weir.RunningTask{{RunKey: key}}
+	ss.takeReport(fw.clk.Now(), fw.reports)
+	ss.Reconcile(fw.clk.Now(), nil)
+	(<-ss.orders)(context.Background())
+	require.Equal(t, []weir.RunKey{key}, fw.stops)
+}
+
+func TestStartOfACancelledRunIsNotSent(t *testing.T) {
+	ss, fw := newSession(t)
+	ss.renew(context.Background())
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	ss.Start(weir.RunOrder{RunKey: key})
+	ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
+	for len(ss.orders) > 0 {
+		(<-ss.orders)(context.Background())
+	}
+	require.Empty(t, fw.starts)
+	out := ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
+	require.Equal(t, []store.End{{Task: key.Task, Run: 1, How: store.EndRefused}}, out.Ends)
+}
