feat: the least work first when there is too much of it

Ruled out: more machines (all were in use, 48 of 48 at those peaks). Change: among jobs that can still meet their objective, those with the least work left go first, so that most of them do.

--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -97,8 +97,10 @@
 			if due := js.Spec.DueAt(oc); due.After(wall) {
 				break
 			}
+			work := workLeft(js, oc)
 			for sp := range js.Rounds[oc] {
 				if gr, ok := ow.group(re, js, qu, oc, sp); ok {
+					gr.Work = work
 					groups = append(groups, gr)
 				}
 			}
@@ -107,6 +109,17 @@
 	return groups
 }
 
+// workLeft sums up what is not done of one occurrence, in core-seconds by the
+// caller's estimates.
+func workLeft(js *store.JobState, oc int) float64 {
+	work := 0.0
+	for sp, ss := range js.Rounds[oc] {
+		step := js.Spec.Steps[sp]
+		work += float64(ss.Left*step.Need.MilliCPU) / 1000 * step.Estimate.Seconds()
+	}
+	return work
+}
+
 func (ow *Owner) group(re *reign, js *store.JobState, qu catalog.Queue, oc, sp int) (plan.Group, bool) {
 	ss := &js.Rounds[oc][sp]
 	if ss.Left == 0 || !js.StepReady(oc, sp) {
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -40,6 +40,8 @@
 	Priority int
 	// StartBy is when the step has to start for the job to meet its objective.
 	StartBy time.Time
+	// Work is what is left of the whole job, in core-seconds.
+	Work float64
 	// On counts the step's runs at each worker.
 	On map[weir.InstanceID]int
 }
@@ -75,6 +77,9 @@
 	slices.SortStableFunc(ordered, func(one, other Group) int {
 		return cmp.Or(
 			cmp.Compare(one.class(now), other.class(now)),
+			// The least work first lets most jobs meet their objective when
+			// there is too much of it.
+			cmp.Compare(one.Work, other.Work),
 			one.StartBy.Compare(other.StartBy),
 			cmp.Compare(one.Step.Job, other.Step.Job),
 			cmp.Compare(one.Step.Step, other.Step.Step),
