feat: waves keep the pace of their deadline while pools lack machines

Ruled out: holding all maintenance back (the last machines of a wave wait for lasting tasks, one after another). Change: while a pool lacks machines, a wave is as wide as its deadline asks for; a new leader sends nothing to stand by before it has seen a turn; no spare machine beside those that lasting tasks need, as closed machines are made up for.

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -49,7 +49,7 @@
 	LendHold = 500 * time.Millisecond
 	// spread is added to the machines that lasting tasks need, for one that is
 	// lost or under maintenance.
-	spareSpread = 1
+	spareSpread = 0
 	// headroom is added to the load, as tasks do not fill machines evenly.
 	headroom = 1.15
 )
--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -73,12 +73,18 @@
 		}
 	}
 	var pools []balance.Pool
+	md.short = false
 	for _, po := range rd.Catalog().Pools {
 		pl := balance.Pool{Name: po.Name, Standby: po.Standby}
 		if !po.Standby {
 			// Machines that wait for maintenance take no tasks.
 			pl.Want = balance.Need(loads[po.Name]) + closed[po.Name]
-			pl.Lend, pl.Keep = md.keep(po.Name, pl.Want, have[po.Name], now)
+			pl.Lend, pl.Keep = md.keep(po.Name, pl.Want, now)
+			if now.Sub(re.since) < balance.Hold {
+				// A new leader has not seen yet what the pool wants at times.
+				pl.Keep = max(pl.Keep, have[po.Name])
+			}
+			md.short = md.short || pl.Want > have[po.Name]
 		}
 		pools = append(pools, pl)
 	}
@@ -97,13 +103,10 @@
 }
 
 // keep returns the most that a pool wanted within balance.LendHold and
-// balance.Hold. What it had at the start counts as wanted, since nothing was
-// seen of it before.
-func (md *machineDuty) keep(pool weir.PoolName, want, have int, now time.Time) (lend, keep int) {
-	if md.needs[pool] == nil {
-		md.needs[pool] = []needed{{at: now, machines: have}}
-	}
-	recent := append(md.needs[pool], needed{at: now, machines: want})
+// balance.Hold.
+func (md *machineDuty) keep(pool weir.PoolName, want int, now time.Time) (lend, keep int) {
+	recent := md.needs[pool]
+	recent = append(recent, needed{at: now, machines: want})
 	for now.Sub(recent[0].at) > balance.Hold {
 		recent = recent[1:]
 	}
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +20,9 @@
 	machineRetry = 400 * time.Millisecond
 	// machineTimeout is how long the platform may take to answer.
 	machineTimeout = 1500 * time.Millisecond
+	// wavePatience is the time that a wave's pace allows for each machine: its
+	// drain, its maintenance and as much again, twice.
+	wavePatience = 9 * time.Second
 	// tellEvery separates lines about maintenance that has to wait.
 	tellEvery = time.Second
 	// drainAhead is how many machines beyond those that may be away are kept
@@ -40,6 +44,8 @@
 	listed   map[string]weir.Machine
 	listedAt time.Time
 	listing  bool
+	// short says that a pool lacked machines when it was looked at last.
+	short bool
 	// toldAt is when it was logged last that maintenance waits.
 	toldAt time.Time
 	// sent holds where machines were sent last, and when.
@@ -179,7 +185,7 @@
 		return cmp.Or(boolRank(other.cordoned)-boolRank(one.cordoned), cmp.Compare(one.work, other.work),
 			cmp.Compare(one.lasting, other.lasting), cmp.Compare(one.machine, other.machine))
 	})
-	free := max(wv.AtOnce, 1) - away
+	free := waveWidth(len(waiting), wv.AtOnce, wv.Deadline.Sub(ow.Wall.Now()), md.short) - away
 	for ix, ca := range waiting {
 		if ix >= free+drainAhead {
 			break
@@ -191,6 +197,17 @@
 	ow.begin(re, rd, wv, waiting, free, now)
 }
 
+// waveWidth returns how many machines of a wave may be away at a time. While
+// pools lack machines it is what the deadline asks for, with some to spare.
+func waveWidth(waiting, atOnce int, left time.Duration, short bool) int {
+	atOnce = max(atOnce, 1)
+	if !short || left <= 0 {
+		return atOnce
+	}
+	needed := math.Ceil(float64(waiting) * wavePatience.Seconds() / left.Seconds())
+	return min(atOnce, max(int(needed), 1))
+}
+
 // begin commits the intent for machines that may go; the order follows once
 // the intent is in the state.
 func (ow *Owner) begin(re *reign, rd store.Reader, wv *store.Wave, waiting []candidate, free int, now time.Time) {
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -253,8 +253,8 @@
 	}
 	if all {
 		ow.paceAll(re)
-		ow.watch(re, now)
-		ow.forget(now)
+		ow.watch(re)
+		ow.forget()
 	}
 	// Machines are judged by what runs there, so not while starts are being
 	// committed.
@@ -415,8 +415,7 @@
 const forgetBatch = 64
 
 // forget drops jobs whose state need no longer be told.
-func (ow *Owner) forget(now time.Time) {
-	_ = now
+func (ow *Owner) forget() {
 	var ids []weir.JobID
 	ow.Store.Read(func(rd store.Reader) { ids = rd.Expired(ow.Wall.Now().Add(-ow.Retention), forgetBatch) })
 	if len(ids) > 0 {
--- a/internal/job/owner/progress.go
+++ b/internal/job/owner/progress.go
@@ -84,7 +84,7 @@
 
 // watch looks at the progress of what runs: runs that stand still or crawl are
 // stopped and go on elsewhere, and their workers are used last for a while.
-func (ow *Owner) watch(re *reign, now time.Time) {
+func (ow *Owner) watch(re *reign) {
 	fresh := make(map[weir.RunKey]progress, len(re.watched))
 	ow.Store.Read(func(rd store.Reader) {
 		for id, at := range re.sessions {
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -136,13 +136,12 @@
 // Run asks and, at a leader, mends the set of voters, until the context ends.
 func (ro *Roster) Run(ctx context.Context) error {
 	var changed time.Time
-	pause := askFast
 	for ctx.Err() == nil {
 		ro.askAll(ctx)
 		if ro.Log != nil && ro.Log.Term() != 0 {
 			changed = ro.mend(ctx, changed)
 		}
-		pause = askFast
+		pause := askFast
 		if ro.Leader() != "" {
 			pause = askSlow
 		}
