fix: answers of a worker that overtake each other do not end a run

A renewal's answer that listed it arrived before that of a look which had been asked for later but answered earlier; the look did not list it yet. Ruled out: a refused or dropped start (the worker ran it), a lapsed lease. Change: a run counts as over only if a report that was asked for after the last listing arrived does not list it. Figures: TestAnswersThatOvertakeEachOther fails before and passes after.

--- a/internal/task/session/decide.go
+++ b/internal/task/session/decide.go
@@ -26,7 +26,8 @@
 //   - refused or never sent: it never started;
 //   - listed: it runs, and is stopped if it is not wanted;
 //   - not listed by a report that was asked for after the worker had confirmed
-//     its start or its stop: it is over;
+//     its start or its stop, or had listed it: it is over. Answers may overtake
+//     each other, so an earlier question proves nothing;
 //   - no report yet, or start under way: wait;
 //   - else nobody knows: stop it by number, after which the worker refuses it.
 func decide(now time.Time, rn run, last report, listed, wanted bool) verdict {
@@ -54,10 +55,12 @@
 	switch {
 	case after(rn.stopAcked):
 		return verdictLost
-	case rn.listed && last.whole, after(rn.answered):
+	case after(rn.listedAt), rn.listedAt.IsZero() && after(rn.answered):
 		return verdictLost
 	case !wanted:
 		return verdictStop
+	case !rn.listedAt.IsZero():
+		return verdictWait
 	case rn.answered.IsZero() && !rn.sentAt.IsZero() && now.Sub(rn.sentAt) < 2*orderTimeout:
 		return verdictWait
 	case !rn.answered.IsZero():
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -66,7 +66,8 @@
 	// or life did.
 	sentAt   time.Time
 	answered time.Time
-	listed   bool
+	// listedAt is when a report that listed it arrived last.
+	listedAt time.Time
 	refusal  weir.Refusal
 	// dropped says that its start was never sent.
 	dropped   bool
@@ -267,7 +268,7 @@
 	for _, rt := range rep.Running {
 		ss.last.running[rt.RunKey] = rt
 		if rn := ss.runs[rt.RunKey]; rn != nil {
-			rn.listed = true
+			rn.listedAt = ss.last.recvAt
 		}
 	}
 	return fresh
--- a/internal/task/session/session_test.go
+++ b/internal/task/session/session_test.go
@@ -145,3 +145,27 @@
 	out := ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
 	require.Equal(t, []store.End{{Task: key.Task, Run: 1, How: store.EndRefused}}, out.Ends)
 }
+
+// TestAnswersThatOvertakeEachOther plays a look that was asked for after a
+// renewal and answered before it, but arrives last.
+func TestAnswersThatOvertakeEachOther(t *testing.T) {
+	ss, fw := newSession(t)
+	ss.renew(context.Background())
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	ss.Start(weir.RunOrder{RunKey: key})
+	renewalSent := fw.clk.Now()
+	fw.clk.Advance(100 * time.Millisecond)
+	lookSent := fw.clk.Now()
+	fw.clk.Advance(10 * time.Millisecond)
+	(<-ss.orders)(context.Background())
+	fw.clk.Advance(10 * time.Millisecond)
+	ss.takeReport(renewalSent, weir.WorkerReport{Running: []weir.RunningTask{{RunKey: key}}})
+	ss.takeReport(lookSent, weir.WorkerReport{})
+	out := ss.Reconcile(fw.clk.Now(), []Placed{{Key: key, Wanted: true}})
+	require.Empty(t, out.Ends, "the run is there")
+	require.Empty(t, ss.orders, "and is not stopped")
+	fw.clk.Advance(10 * time.Millisecond)
+	ss.takeReport(fw.clk.Now(), weir.WorkerReport{})
+	out = ss.Reconcile(fw.clk.Now(), []Placed{{Key: key, Wanted: true}})
+	require.Len(t, out.Ends, 1, "a report asked for later shows that it is over")
+}
