fix: what is given up on is reset, so that it cannot arrive later

Closing a connection in good order leaves its bytes to be delivered. Ruled out: an order sent after leadership was lost (none is). Change: a request that is given up on resets its connection.

--- /dev/null
+++ b/internal/capacity/balance/balance_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	weir "greengageweir"
+)
+
+func TestNeed(t *testing.T) {
+	cases := map[string]struct {
+		load Load
+		want int
+	}{
+		"nothing":                       {Load{PerMachine: 64_000}, 1},
+		"lasting tasks apart":           {Load{PerMachine: 64_000, Lasting: 20_000, Spread: 5}, 5},
+		"work that waits":               {Load{PerMachine: 64_000, Busy: 64_000, Waiting: 192_000}, 5},
+		"work that arrives":             {Load{PerMachine: 64_000, Rate: 640_000}, 12},
+		"the larger of the two":         {Load{PerMachine: 64_000, Rate: 64_000, Waiting: 640_000}, 12},
+		"no machine was seen so far":    {Load{Waiting: 64_000}, 1},
+		"lasting tasks beside the rest": {Load{PerMachine: 64_000, Lasting: 64_000, Waiting: 100_000, Spread: 1}, 3},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, Need(tc.load)) })
+	}
+}
+
+func machines(pool string, idle, busy, tied int) []Machine {
+	var out []Machine
+	for ix := range idle + busy + tied {
+		mc := Machine{Name: fmt.Sprintf("%s-%02d", pool, ix), Pool: weir.PoolName(pool), Free: ix < idle+busy}
+		if ix >= idle && ix < idle+busy {
+			mc.Work = 1 + ix
+		}
+		out = append(out, mc)
+	}
+	return out
+}
+
+func pool(name string, want, lend, keep int) Pool {
+	return Pool{Name: weir.PoolName(name), Want: want, Lend: lend, Keep: keep}
+}
+
+var standby = Pool{Name: "off", Standby: true}
+
+// flows counts moves by where they lead from and to.
+func flows(dec Decision) map[string]int {
+	out := map[string]int{}
+	for _, mv := range dec.Moves {
+		out[mv.Machine[:len(mv.Machine)-3]+">"+string(mv.To)]++
+	}
+	return out
+}
+
+func TestDecide(t *testing.T) {
+	cases := map[string]struct {
+		pools    []Pool
+		machines [][]Machine
+		moves    map[string]int
+		leaving  int
+	}{
+		"enough everywhere": {
+			[]Pool{pool("a", 2, 2, 2), pool("b", 2, 2, 2), standby},
+			[][]Machine{machines("a", 2, 0, 0), machines("b", 2, 0, 0)},
+			map[string]int{},
+			0,
+		},
+		"a neighbour's idle machines before those that stand by": {
+			[]Pool{pool("a", 5, 5, 5), pool("b", 1, 1, 4), standby},
+			[][]Machine{machines("a", 0, 2, 0), machines("b", 2, 0, 1), machines("off", 4, 0, 0)},
+			map[string]int{"b>a": 2, "off>a": 1},
+			0,
+		},
+		"lasting tasks tie machines down": {
+			[]Pool{pool("a", 4, 4, 4), pool("b", 1, 1, 1)},
+			[][]Machine{machines("a", 0, 2, 0), machines("b", 0, 0, 4)},
+			map[string]int{},
+			0,
+		},
+		"busy neighbours are cleared first": {
+			[]Pool{pool("a", 4, 4, 4), pool("b", 1, 1, 1)},
+			[][]Machine{machines("a", 0, 2, 0), machines("b", 0, 4, 0)},
+			map[string]int{},
+			2,
+		},
+		"what was needed lately is kept": {
+			[]Pool{pool("a", 1, 1, 4), standby},
+			[][]Machine{machines("a", 4, 0, 0)},
+			map[string]int{},
+			0,
+		},
+		"what is not needed stands by": {
+			[]Pool{pool("a", 1, 1, 2), standby},
+			[][]Machine{machines("a", 4, 2, 0)},
+			map[string]int{"a>off": 4},
+			0,
+		},
+		"busy ones first lose their tasks": {
+			[]Pool{pool("a", 1, 1, 1), standby},
+			[][]Machine{machines("a", 1, 2, 0)},
+			map[string]int{"a>off": 1},
+			1,
+		},
+		"without a standby pool nothing is sent away": {
+			[]Pool{pool("a", 1, 1, 1)},
+			[][]Machine{machines("a", 4, 0, 0)},
+			map[string]int{},
+			0,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var all []Machine
+			for _, list := range tc.machines {
+				all = append(all, list...)
+			}
+			dec := Decide(tc.pools, all)
+			require.Equal(t, tc.moves, flows(dec))
+			require.Len(t, dec.Leaving, tc.leaving)
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/store/store_test.go
@@ -0,0 +1,304 @@
+package store
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+
+	weir "greengageweir"
+)
+
+var testNow = time.Unix(1_800_000_000, 0).UTC()
+
+// fixture is a store with one queue, its pool's workers and a job.
+type fixture struct {
+	t     require.TestingT
+	sr    *Store
+	index uint64
+}
+
+func newFixture(t require.TestingT) *fixture {
+	fx := &fixture{t: t, sr: New()}
+	fx.taken(Change{Catalog: &catalog.Catalog{
+		Version: 1, Pools: []catalog.Pool{{Name: "desk"}},
+		Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, MaxAttempts: 2}},
+	}})
+	for ix := range 3 {
+		fx.taken(Change{Join: testWorker(ix, 1)})
+	}
+	return fx
+}
+
+func testWorker(ix int, born int64) *Worker {
+	return &Worker{
+		ID: weir.InstanceID(fmt.Sprint("w", ix)), Born: born, Pool: "desk", Address: fmt.Sprint("addr", ix),
+		Machine: fmt.Sprint("m", ix), Room: spec.Need{MilliCPU: 8000},
+	}
+}
+
+func (fx *fixture) apply(ch Change) Answer {
+	data, err := Entry{At: testNow, Changes: []Change{ch}}.Encode()
+	require.NoError(fx.t, err)
+	fx.index++
+	answers, ok := fx.sr.Apply(fx.index, data).([]Answer)
+	require.True(fx.t, ok)
+	return answers[0]
+}
+
+func (fx *fixture) taken(ch Change) {
+	ans := fx.apply(ch)
+	require.True(fx.t, ans.Taken, "%+v: %s", ch, ans.Reason)
+}
+
+func (fx *fixture) refused(ch Change, reason string) {
+	ans := fx.apply(ch)
+	require.False(fx.t, ans.Taken)
+	require.Equal(fx.t, reason, ans.Reason)
+}
+
+func (fx *fixture) submit(id string, steps ...spec.Step) {
+	fx.taken(Change{Submit: &spec.Job{ID: spec.ID(id), Queue: "h/q/", Text: "text", Steps: steps}})
+}
+
+func (fx *fixture) phase(id string) Phase {
+	var ph Phase
+	fx.sr.Read(func(rd Reader) { ph = rd.Job(spec.ID(id)).Phase })
+	return ph
+}
+
+func start(job string, step, index, run, worker int) Change {
+	return Change{Start: &Start{
+		Task: spec.Ref{Job: spec.ID(job), Step: step, Index: index}, Run: run, Worker: weir.InstanceID(fmt.Sprint("w", worker)), Born: 1,
+	}}
+}
+
+func end(job string, step, index, run int, how How) Change {
+	return Change{End: &End{Task: spec.Ref{Job: spec.ID(job), Step: step, Index: index}, Run: run, How: how}}
+}
+
+var one = spec.Step{Count: 1, Need: spec.Need{MilliCPU: 1000}}
+
+func TestStepsRunInOrder(t *testing.T) {
+	fx := newFixture(t)
+	second := one
+	second.After = []int{0}
+	fx.submit("a", one, second)
+	require.Equal(t, Queued, fx.phase("a"))
+	fx.refused(start("a", 1, 0, 1, 0), "an earlier step is not done")
+	fx.taken(start("a", 0, 0, 1, 0))
+	require.Equal(t, Running, fx.phase("a"))
+	fx.refused(start("a", 1, 0, 1, 0), "an earlier step is not done")
+	fx.taken(end("a", 0, 0, 1, EndDone))
+	fx.taken(start("a", 1, 0, 1, 1))
+	fx.taken(end("a", 1, 0, 1, EndDone))
+	require.Equal(t, Done, fx.phase("a"))
+}
+
+func TestOneRunAtATime(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", one)
+	fx.refused(start("a", 0, 0, 2, 0), "not the next run")
+	fx.taken(start("a", 0, 0, 1, 0))
+	fx.refused(start("a", 0, 0, 2, 1), "a run is not over")
+	fx.taken(end("a", 0, 0, 1, EndLost))
+	fx.taken(start("a", 0, 0, 2, 1))
+	fx.refused(end("a", 0, 0, 1, EndDone), "not the present run")
+	fx.taken(end("a", 0, 0, 2, EndDone))
+	fx.refused(start("a", 0, 0, 3, 1), "job is over")
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", one)
+	for run := 1; run <= 2; run++ {
+		fx.taken(start("a", 0, 0, run, 0))
+		fx.taken(end("a", 0, 0, run, EndFailed))
+	}
+	require.Equal(t, Failed, fx.phase("a"))
+
+	fx.submit("lasting", spec.Step{Count: 1, Lasting: true})
+	for run := 1; run <= 5; run++ {
+		fx.taken(start("lasting", 0, 0, run, 0))
+		fx.taken(end("lasting", 0, 0, run, EndFailed))
+	}
+	require.Equal(t, Running, fx.phase("lasting"), "lasting tasks are started again however they end")
+
+	fx.submit("unlucky", one)
+	for run := 1; run <= 5; run++ {
+		fx.taken(start("unlucky", 0, 0, run, 0))
+		fx.taken(end("unlucky", 0, 0, run, EndLost))
+	}
+	require.Equal(t, Running, fx.phase("unlucky"), "only failures count")
+}
+
+func TestCancelledJobKeepsItsRunsUntilTheyAreOver(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", one)
+	fx.taken(start("a", 0, 0, 1, 0))
+	id := spec.ID("a")
+	fx.taken(Change{Cancel: &id})
+	require.Equal(t, Cancelled, fx.phase("a"))
+	fx.sr.Read(func(rd Reader) { require.Len(t, rd.Runs("w0"), 1) })
+	fx.taken(end("a", 0, 0, 1, EndStopped))
+	fx.sr.Read(func(rd Reader) {
+		require.Empty(t, rd.Runs("w0"))
+		require.Nil(t, rd.Job("a").Rounds)
+	})
+	fx.taken(Change{Cancel: &id})
+	require.Equal(t, Cancelled, fx.phase("a"), "again is no error")
+}
+
+func TestLivesOfWorkers(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", spec.Step{Count: 3, Need: spec.Need{MilliCPU: 1000}})
+	for ix := range 3 {
+		fx.taken(start("a", 0, ix, 1, ix))
+	}
+	fx.refused(Change{Join: testWorker(0, 0)}, "an earlier life")
+	// Another id on the same machine: the old life is over, and its run.
+	fresh := testWorker(0, 5)
+	fresh.ID, fresh.Address = "w9", "addr9"
+	fx.taken(Change{Join: fresh})
+	fx.sr.Read(func(rd Reader) {
+		_, ok := rd.Worker("w0")
+		require.False(t, ok)
+		require.False(t, rd.Job("a").Task(spec.Ref{Job: "a"}).Placed())
+	})
+	// The same id again: what ran there is uncertain, so it stays placed.
+	fx.taken(Change{Join: testWorker(1, 5)})
+	fx.sr.Read(func(rd Reader) {
+		tk := rd.Job("a").Task(spec.Ref{Job: "a", Index: 1})
+		require.True(t, tk.Placed())
+		require.Equal(t, int64(5), tk.Born)
+	})
+	fx.refused(Change{Leave: &Leave{ID: "w1", Born: 1}}, "not the present life")
+	fx.taken(Change{Leave: &Leave{ID: "w2", Born: 1}})
+	fx.refused(start("a", 0, 2, 2, 2), "worker is gone")
+	draining := testWorker(1, 5)
+	draining.Draining = true
+	fx.taken(Change{Join: draining})
+	fx.refused(Change{Start: &Start{Task: spec.Ref{Job: "a", Index: 2}, Run: 2, Worker: "w1", Born: 5}}, "worker drains")
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	fx := newFixture(t)
+	fx.taken(Change{Catalog: &catalog.Catalog{Version: 7, Document: []byte("seven")}})
+	fx.refused(Change{Catalog: &catalog.Catalog{Version: 7, Document: []byte("other")}}, "version is not newer")
+	fx.refused(Change{Catalog: &catalog.Catalog{Version: 3}}, "version is not newer")
+	fx.sr.Read(func(rd Reader) { require.Equal(t, "seven", string(rd.Catalog().Document)) })
+}
+
+func TestWaves(t *testing.T) {
+	fx := newFixture(t)
+	fx.taken(Change{Wave: &Wave{Number: 1, Machines: []string{"m0", "gone"}, AtOnce: 1}})
+	done := func() (done bool) {
+		fx.sr.Read(func(rd Reader) { done = rd.Waves()[1].Done() })
+		return done
+	}
+	fx.taken(Change{Machine: &MachineOperation{Machine: "m0", Wave: 1}})
+	fx.refused(Change{Machine: &MachineOperation{Machine: "m0", Pool: "desk"}}, "an operation is under way")
+	fx.taken(Change{Machine: &MachineOperation{Machine: "m0", Wave: 1, Begun: true}})
+	require.False(t, done())
+	fx.taken(Change{Machine: &MachineOperation{Machine: "gone", Wave: 1, Void: true}})
+	require.True(t, done(), "a machine that is not there holds nothing up")
+	require.Equal(t, "known", fx.apply(Change{Wave: &Wave{Number: 1}}).Reason)
+}
+
+func TestGangEndsTogether(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", spec.Step{Count: 2, Gang: true})
+	fx.taken(start("a", 0, 0, 1, 0))
+	fx.taken(start("a", 0, 1, 1, 1))
+	fx.taken(end("a", 0, 1, 1, EndDone))
+	require.Equal(t, Done, fx.phase("a"), "one end stands for all")
+	fx.sr.Read(func(rd Reader) { require.Len(t, rd.Runs("w0"), 1, "the other is still to be seen off") })
+}
+
+// TestRandomChanges applies changes at random and checks after each that no
+// finished task is placed, that no task is at two workers, that the indexes
+// say what the tasks say, and that a snapshot holds all of it.
+func TestRandomChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fx := newFixture(rt)
+		for job := range 3 {
+			fx.submit(fmt.Sprint("j", job), spec.Step{Count: 2, Need: spec.Need{MilliCPU: 500}}, spec.Step{Count: 1, After: []int{0}})
+		}
+		hows := []How{EndDone, EndFailed, EndLost, EndStopped, EndRefused}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			job := fmt.Sprint("j", rapid.IntRange(0, 2).Draw(rt, "job"))
+			step, index := rapid.IntRange(0, 1).Draw(rt, "step"), rapid.IntRange(0, 1).Draw(rt, "index")
+			run, worker := rapid.IntRange(1, 4).Draw(rt, "run"), rapid.IntRange(0, 2).Draw(rt, "worker")
+			switch rapid.IntRange(0, 9).Draw(rt, "kind") {
+			case 0, 1, 2, 3:
+				fx.apply(start(job, step, index, run, worker))
+			case 4, 5, 6:
+				fx.apply(end(job, step, index, run, rapid.SampledFrom(hows).Draw(rt, "how")))
+			case 7:
+				id := spec.ID(job)
+				fx.apply(Change{Cancel: &id})
+			case 8:
+				fx.apply(Change{Leave: &Leave{ID: weir.InstanceID(fmt.Sprint("w", worker)), Born: 1}})
+			case 9:
+				fx.apply(Change{Join: testWorker(worker, 1)})
+			}
+			checkState(rt, fx.sr.st)
+		}
+		data, err := fx.sr.Snapshot()
+		require.NoError(rt, err)
+		other := New()
+		require.NoError(rt, other.Restore(fx.index, data))
+		again, err := other.Snapshot()
+		require.NoError(rt, err)
+		require.JSONEq(rt, string(data), string(again))
+		require.Equal(rt, fx.sr.st.Active, other.st.Active)
+		require.Equal(rt, fx.sr.st.Workers, other.st.Workers)
+	})
+}
+
+func checkState(t require.TestingT, st *state) {
+	placed := map[weir.InstanceID]int{}
+	for id, js := range st.Jobs {
+		count := 0
+		for oc, round := range js.Rounds {
+			for sp := range round {
+				left := 0
+				for ix := range round[sp].Tasks {
+					tk := &round[sp].Tasks[ix]
+					if !tk.Done {
+						left++
+					}
+					if !tk.Placed() {
+						continue
+					}
+					require.False(t, tk.Done, "a finished task is placed")
+					count++
+					placed[tk.Worker]++
+					key := RunKey{Task: spec.Ref{Job: id, Occurrence: oc, Step: sp, Index: ix}, Run: tk.Run}
+					require.Contains(t, st.Runs[tk.Worker], key)
+				}
+				require.Equal(t, left, round[sp].Left)
+			}
+		}
+		require.Equal(t, count, js.Placed)
+		require.Equal(t, js.Rounds != nil, st.Active[id])
+	}
+	for id, runs := range st.Runs {
+		require.Len(t, runs, placed[id])
+	}
+}
+
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	fx := newFixture(t)
+	require.Error(t, fx.sr.Restore(9, []byte("{")))
+	data, err := json.Marshal(fx.sr.st)
+	require.NoError(t, err)
+	require.NotEmpty(t, data)
+	fx.sr.Read(func(rd Reader) { require.Equal(t, int64(1), rd.Catalog().Version) })
+}
--- a/internal/link/httpconn/httpconn.go
+++ b/internal/link/httpconn/httpconn.go
@@ -171,7 +171,7 @@
 // exchange writes the request and reads the answer. The connection is closed
 // when the context ends, which frees a call on a silent connection.
 func (pl *Pool) exchange(ctx context.Context, cn *conn, req *http.Request) (*Response, bool, error) {
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, func() { reset(cn.Conn) })
 	defer stop()
 	cn.sent.count = 0
 	err := req.Write(cn.wr)
@@ -204,6 +204,16 @@
 	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body}, !raw.Close, nil
 }
 
+// reset closes a connection so that what the network still holds of it is
+// dropped, and does not arrive seconds later.
+func reset(cn net.Conn) {
+	if tcp, ok := cn.(*net.TCPConn); ok {
+		// Where it cannot be set, the close is an ordinary one.
+		_ = tcp.SetLinger(0)
+	}
+	_ = cn.Close()
+}
+
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/link/httpconn/httpconn_test.go
+++ b/internal/link/httpconn/httpconn_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -141,3 +142,30 @@
 	require.True(t, fault.Is(err, KindBroken), "a read may find out")
 	require.Equal(t, int32(2), conns.Load())
 }
+
+// TestAbandonedRequestIsReset: what waits in the network must not arrive later
+// as if the connection had been closed in good order.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := lis.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer conn.Close()
+		_, err = io.Copy(io.Discard, conn) // io.EOF is no error to Copy
+		ended <- err
+	}()
+	pl := NewPool(lis.Addr().String(), 1, clock.System{})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+lis.Addr().String()+"/", strings.NewReader("order"))
+	require.NoError(t, err)
+	_, err = pl.Do(ctx, req, false)
+	require.Error(t, err)
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
+}
