--- /dev/null
+++ b/internal/job/owner/owner_test.go
@@ -0,0 +1,103 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/config/catalog"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+
+	weir "greengageweir"
+)
+
+var testNow = time.Unix(1_800_000_000, 0)
+
+func after(ms int) time.Time { return testNow.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestProgress(t *testing.T) {
+	type seen struct {
+		ms, percent int
+	}
+	const second = time.Second
+	cases := map[string]struct {
+		seen     []seen
+		estimate time.Duration
+		want     pace
+	}{
+		"too early to tell":          {[]seen{{0, 0}, {500, 1}}, second, paceGood},
+		"as expected":                {[]seen{{0, 10}, {800, 85}}, second, paceGood},
+		"tasks differ":               {[]seen{{0, 0}, {800, 45}}, second, paceGood},
+		"crawls, but is nearly done": {[]seen{{0, 85}, {800, 95}}, second, paceSlow},
+		"crawls":                     {[]seen{{0, 0}, {800, 10}}, second, paceHopeless},
+		"stands still":               {[]seen{{0, 50}, {1500, 50}}, 4 * second, paceHopeless},
+		"nothing seen yet":           {[]seen{{0, 0}, {1000, 0}}, 3 * second, paceSlow},
+		"a step of hours":            {[]seen{{0, 1}, {5000, 1}}, 10_000 * second, paceSlow},
+		"no estimate":                {[]seen{{0, 0}, {9000, 0}}, 0, paceGood},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var pg progress
+			for _, sn := range tc.seen {
+				pg = pg.seen(sn.percent, after(sn.ms))
+			}
+			require.Equal(t, tc.want, pg.judge(after(tc.seen[len(tc.seen)-1].ms), tc.estimate))
+		})
+	}
+}
+
+func TestPaceOfFillingTasks(t *testing.T) {
+	require.Equal(t, 25, paced{percent: 100}.next(1.2), "users wait: falls fast")
+	require.Equal(t, 50, paced{percent: 100}.next(0.97))
+	require.Equal(t, 60, paced{percent: 60}.next(0.9), "neither near nor far")
+	require.Equal(t, 80, paced{percent: 60}.next(0.5))
+	require.Equal(t, 100, paced{percent: 95}.next(0))
+}
+
+func TestWaveWidth(t *testing.T) {
+	require.Equal(t, 10, waveWidth(24, 10, 26*time.Second, false), "nobody lacks machines")
+	require.Equal(t, 9, waveWidth(24, 10, 26*time.Second, true))
+	require.Equal(t, 1, waveWidth(1, 10, 26*time.Second, true))
+	require.Equal(t, 10, waveWidth(24, 10, time.Second, true), "the deadline is near")
+	require.Equal(t, 10, waveWidth(2, 10, -time.Second, true), "it has passed")
+	require.Equal(t, 1, waveWidth(2, 0, time.Minute, false))
+}
+
+func TestStartBy(t *testing.T) {
+	jb := spec.Job{ID: "a", Steps: []spec.Step{
+		{Count: 1, Estimate: time.Second},
+		{Count: 1, Estimate: 2 * time.Second, After: []int{0}},
+		{Count: 1, Estimate: 500 * time.Millisecond},
+	}}
+	qu := catalog.Queue{Target: 600 * time.Millisecond, Stretch: 2}
+	// The chain is 3 s, the objective 6.6 s.
+	require.Equal(t, after(3600), startBy(jb, testNow, qu, 0, 0))
+	require.Equal(t, after(4600), startBy(jb, testNow, qu, 0, 1))
+	require.Equal(t, after(6100), startBy(jb, testNow, qu, 0, 2))
+	jb.Times, jb.StartAt, jb.Every = 3, after(10_000), time.Second
+	require.Equal(t, after(15_600), startBy(jb, testNow, qu, 2, 0), "occurrences count from their due time")
+}
+
+func TestHealthOfWorkers(t *testing.T) {
+	ow := &Owner{Logger: log.NewNopLogger()}
+	re := &reign{health: map[weir.InstanceID]*health{}, avoid: map[spec.Ref]weir.InstanceID{}}
+	failed := func() {
+		ow.noteEnd(re, "w", store.End{Task: spec.Ref{Job: "a"}, How: store.EndFailed}, testNow)
+	}
+	for range suspectAfter {
+		require.False(t, re.health["w"].suspect(testNow))
+		failed()
+	}
+	require.True(t, re.health["w"].suspect(testNow))
+	require.False(t, re.health["w"].resting(testNow))
+	failed()
+	require.True(t, re.health["w"].resting(testNow))
+	require.False(t, re.health["w"].resting(testNow.Add(restMin+time.Millisecond)))
+	require.Equal(t, weir.InstanceID("w"), re.avoid[spec.Ref{Job: "a"}], "the task goes elsewhere next")
+	ow.noteEnd(re, "w", store.End{Task: spec.Ref{Job: "a"}, How: store.EndDone}, testNow)
+	require.False(t, re.health["w"].suspect(testNow))
+	require.Empty(t, re.avoid)
+}
