feat: jobs through the product's own interface, with stand-in workers and a demo

Cause: jobs could be submitted through the platform's adapter only. Ruled out: the earlier caller path for jobs (its requests have no steps). What both kinds of process share is built in one place.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: build
 	scripts/demo.sh
+	scripts/demo-jobs.sh
 
 test: build lint check-examples unit
 
--- /dev/null
+++ b/cmd/greengageweir/jobs.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"greengageweir/internal/contract/jobhttp"
+	"greengageweir/internal/contract/taskapi"
+	"greengageweir/internal/duty/access"
+	"greengageweir/internal/duty/cli"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/invariant"
+	"greengageweir/internal/duty/logs"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+	"greengageweir/internal/duty/settings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/labstack/echo/v4"
+)
+
+// jobsCommand runs a process that takes jobs and runs them on task workers.
+type jobsCommand struct {
+	Zone          string        `long:"zone" env:"WEIR_ZONE" description:"Availability zone of this process"`
+	PeerAddr      string        `long:"peer-addr" env:"WEIR_PEER_ADDR" description:"IP:port for the system's other processes; also the process's id"`
+	Listen        string        `long:"listen" env:"WEIR_JOBS_ADDR" description:"IP:port for callers, workers and operators"`
+	MetricsAddr   string        `long:"metrics-addr" env:"WEIR_METRICS_ADDR" description:"IP:port of metrics and state; none if not given"`
+	DataDir       string        `long:"data-dir" env:"WEIR_DATA_DIR" description:"Folder for the replicated log"`
+	Seeds         []string      `long:"seed" env:"WEIR_SEEDS" env-delim:"," description:"Peer address of a process, this one too; repeat for each"`
+	FirstStart    bool          `long:"first-start" env:"WEIR_FIRST_START" description:"The seeds found a new cluster; without it an empty folder joins one"`
+	Tolerance     int           `long:"tolerance" env:"WEIR_TOLERANCE" default:"1" description:"Processes with a disk that may be lost at once"`
+	Retention     time.Duration `long:"retention" env:"WEIR_RETENTION" default:"10m" description:"How long the state of an ended job is told"`
+	PeerTokenFile string        `long:"peer-token-file" env:"WEIR_PEER_TOKEN_FILE" description:"File with the token that processes share"`
+	LogLevel      string        `long:"log-level" env:"WEIR_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+const (
+	minRetention = 10 * time.Second
+	maxRetention = 24 * time.Hour
+	maxTolerance = 4
+)
+
+func (jc *jobsCommand) check() error {
+	var ck settings.Checks
+	ck.Name("--zone", jc.Zone)
+	ck.Address("--peer-addr", jc.PeerAddr)
+	ck.Address("--listen", jc.Listen)
+	if jc.MetricsAddr != "" {
+		ck.Address("--metrics-addr", jc.MetricsAddr)
+	}
+	ck.Need("--data-dir", jc.DataDir != "")
+	jc.Seeds = split(jc.Seeds)
+	ck.Need("--seed", len(jc.Seeds) > 0)
+	for _, seed := range jc.Seeds {
+		ck.Address("--seed", seed)
+	}
+	ck.Count("--tolerance", jc.Tolerance, 0, maxTolerance)
+	ck.Range("--retention", jc.Retention, minRetention, maxRetention)
+	ck.File("--peer-token-file", jc.PeerTokenFile)
+	return ck.Err()
+}
+
+// Execute implements flags.Commander.
+func (jc *jobsCommand) Execute([]string) error {
+	if err := jc.check(); err != nil {
+		return err
+	}
+	lg, _, err := logs.New(logs.NewAsync(os.Stdout), jc.LogLevel, "jobs", jc.PeerAddr)
+	if err != nil {
+		return err
+	}
+	invariant.SetLogger(lg)
+	token, err := access.LoadToken(jc.PeerTokenFile)
+	if err != nil {
+		return err
+	}
+	if err := formatFirst(jc.DataDir, jc.PeerAddr, jc.Seeds, jc.FirstStart, lg); err != nil {
+		return err
+	}
+	_ = lg.Log("level", "info", "msg", "started", "version", cli.Version, "zone", jc.Zone, "listen", jc.Listen)
+	err = jc.run(token, lg)
+	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
+	return err
+}
+
+func (jc *jobsCommand) run(token string, lg log.Logger) error {
+	ctx := stopContext(lg, func() string { return "nothing that is not synced" })
+	ho := &holder{
+		PeerAddr: jc.PeerAddr, Zone: jc.Zone, Token: token, Seeds: jc.Seeds, DataDir: jc.DataDir, Voters: 2*jc.Tolerance + 1,
+		Retention: jc.Retention, Name: jc.PeerAddr, Workers: taskapi.NewClient(clock.Steady{}), Logger: lg,
+	}
+	ho.build()
+	ho.steps = append(ho.steps, &ops.Listener{
+		Name: "jobs listener", Addr: jc.Listen, Handler: jobhttp.Routes(ho.service, clock.Wall{}), Patience: controlPatience,
+	})
+	if jc.MetricsAddr != "" {
+		ho.steps = append(ho.steps, metricsListener(jc.MetricsAddr, ho.state))
+	}
+	return run.All(ctx, lg, ho.steps...)
+}
+
+// metricsListener serves metrics and a dump of the process's state.
+func metricsListener(addr string, dump func() any) *ops.Listener {
+	ech := ops.NewEcho()
+	ech.GET("/metrics", func(ctx echo.Context) error {
+		metrics.WritePrometheus(ctx.Response(), true)
+		return nil
+	})
+	ech.GET("/state", func(ctx echo.Context) error { return ctx.JSON(http.StatusOK, dump()) })
+	return &ops.Listener{Name: "metrics", Addr: addr, Handler: ech}
+}
--- a/cmd/greengageweir/platform.go
+++ b/cmd/greengageweir/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,9 +17,7 @@
 	"greengageweir/internal/member/roster"
 	"greengageweir/platform"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
-	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -96,13 +93,6 @@
 	return st, lg, nil
 }
 
-// metricsStep serves metrics and a dump of the process's state.
 func metricsStep(st *platform.Settings, dump func() any) *ops.Listener {
-	ech := ops.NewEcho()
-	ech.GET("/metrics", func(ctx echo.Context) error {
-		metrics.WritePrometheus(ctx.Response(), true)
-		return nil
-	})
-	ech.GET("/state", func(ctx echo.Context) error { return ctx.JSON(http.StatusOK, dump()) })
-	return &ops.Listener{Name: "metrics", Addr: st.MetricsAddress(), Handler: ech}
+	return metricsListener(st.MetricsAddress(), dump)
 }
--- a/cmd/weirctl/main.go
+++ b/cmd/weirctl/main.go
@@ -37,6 +37,15 @@
 		{Name: "process", Short: "Manage the list of entry instances", Sub: []cli.Command{
 			{Name: "forget", Short: "Forget an entry instance that is gone for good", Data: &processForget{}},
 		}},
+		{Name: "job", Short: "Submit, show and cancel jobs", Sub: []cli.Command{
+			{Name: "submit", Short: "Submit a job", Data: &jobSubmit{}},
+			{Name: "show", Short: "Show a job, or how many of a queue wait", Data: &jobShow{}},
+			{Name: "cancel", Short: "Cancel a job", Data: &jobCancel{}},
+		}},
+		{Name: "catalog", Short: "Show and change queues and pools of jobs", Sub: []cli.Command{
+			{Name: "put", Short: "Put a version in force", Data: &catalogPut{}},
+			{Name: "show", Short: "Show the version in force", Data: &catalogShow{}},
+		}},
 		{Name: "usage", Short: "Show settled usage", Data: &usageCommand{}},
 		{Name: "state", Short: "Inspect one process", Sub: []cli.Command{
 			{Name: "dump", Short: "Print the state of a process", Data: &stateDump{}},
--- a/cmd/weirstandin/main.go
+++ b/cmd/weirstandin/main.go
@@ -12,6 +12,7 @@
 func main() {
 	os.Exit(cli.Run("weirstandin", "Stand-ins for workers, platform and callers.", []cli.Command{
 		{Name: "workers", Short: "Run the workers of one site and their platform", Data: &workersCommand{}},
+		{Name: "task-workers", Short: "Run workers that pretend to run tasks", Data: &taskWorkersCommand{}},
 		{Name: "load", Short: "Send a mix of bookings and reads and record the answers", Data: &loadCommand{}},
 		{Name: "relay", Short: "Forward between zones, and cut them off on request", Data: &relayCommand{}},
 		{Name: "peaks", Short: "Compare policies for peaks on the real placement", Data: &peaksCommand{}},
--- /dev/null
+++ b/cmd/weirstandin/task_workers.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/contract/jobhttp"
+	"greengageweir/internal/contract/taskapi"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/logs"
+	"greengageweir/internal/duty/ops"
+	"greengageweir/internal/duty/run"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/standin/taskworker"
+
+	"github.com/go-kit/log"
+
+	weir "greengageweir"
+)
+
+// announceEvery is how often a stand-in announces itself.
+const announceEvery = time.Second
+
+// taskWorkersCommand runs workers of one pool that pretend to run tasks.
+type taskWorkersCommand struct {
+	Jobs  []string `long:"jobs" required:"true" description:"Address of a process that takes jobs; repeat for each"`
+	Pool  string   `long:"pool" required:"true" description:"Pool of the workers"`
+	Count int      `long:"count" default:"2" description:"Number of workers"`
+	Port  int      `long:"port" required:"true" description:"Port of the first worker; the others follow"`
+	Cores int      `long:"cores" default:"8" description:"Cores of a worker"`
+}
+
+// Execute implements flags.Commander.
+func (tc *taskWorkersCommand) Execute([]string) error {
+	lg, _, err := logs.New(os.Stderr, "info", "standin", tc.Pool)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	var steps []weir.Step
+	for ix := range tc.Count {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(tc.Port+ix))
+		ann := jobapi.Announcement{Worker: store.Worker{
+			ID: weir.InstanceID(fmt.Sprintf("%s-%d", tc.Pool, ix)), Born: clock.Wall{}.Now().UnixMilli(), Pool: weir.PoolName(tc.Pool),
+			Address: addr, Zone: "local", Rack: "r" + strconv.Itoa(ix), Room: spec.Need{MilliCPU: tc.Cores * 1000, MemoryMB: 1 << 20},
+		}}
+		wk := &taskworker.Worker{ID: ann.ID, Born: ann.Born, Clock: clock.System{}}
+		steps = append(steps,
+			&ops.Listener{Name: "worker " + string(ann.ID), Addr: addr, Handler: taskapi.Routes(wk)},
+			&run.Func{Name: "announcer of " + string(ann.ID), Do: func(ctx context.Context) error { return tc.announce(ctx, ann, lg) }})
+	}
+	return run.All(ctx, lg, steps...)
+}
+
+func (tc *taskWorkersCommand) announce(ctx context.Context, ann jobapi.Announcement, lg log.Logger) error {
+	cl := &jobhttp.Client{Addrs: tc.Jobs}
+	return run.Every(ctx, announceEvery, func() {
+		ann.Sequence++
+		callCtx, cancel := context.WithTimeout(ctx, announceEvery)
+		defer cancel()
+		if _, _, err := cl.Do(callCtx, http.MethodPut, "/v1/workers/"+string(ann.ID), ann); err != nil {
+			_ = lg.Log("level", "warn", "msg", "not announced", "worker", ann.ID, "err", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/contract/jobhttp/client.go
@@ -0,0 +1,93 @@
+package jobhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/duty/fault"
+
+	"github.com/pkg/errors"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindUnreachable Kind = "no process answers"
+	KindFormat      Kind = "unreadable answer"
+	KindRefused     Kind = "refused"
+)
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+// retryPause separates rounds over all addresses.
+const retryPause = 150 * time.Millisecond
+
+// Client calls any of the processes. All calls may be repeated, so it goes on
+// until one answers for sure or the context ends.
+type Client struct {
+	Addrs []string
+}
+
+// Do sends a body as JSON and returns the answer. An answer that says that
+// the call can never succeed is an error of KindRefused.
+func (cl *Client) Do(ctx context.Context, method, path string, body any) (Answer, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return Answer{}, nil, &Error{Op: path, Kind: KindFormat, Err: err}
+	}
+	var last error = &Error{Op: path, Kind: KindUnreachable}
+	for {
+		for _, addr := range cl.Addrs {
+			ans, text, err := cl.try(ctx, method, addr, path, data)
+			switch {
+			case err != nil:
+				last = &Error{Op: path + " at " + addr, Kind: KindUnreachable, Err: err}
+			case ans.Outcome == jobapi.Unavailable || ans.Outcome == jobapi.Unknown || ans.Outcome == jobapi.Refused:
+				last = &Error{Op: path + " at " + addr, Kind: KindUnreachable, Err: errors.New(ans.Reason)}
+			case ans.Outcome != jobapi.OK && ans.Outcome != "":
+				return ans, text, &Error{Op: path, Kind: KindRefused, Err: errors.New(string(ans.Outcome) + " " + ans.Reason)}
+			default:
+				return ans, text, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return Answer{}, nil, last
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// tryTimeout is how long one process may take before the next is asked.
+const tryTimeout = 2 * time.Second
+
+func (cl *Client) try(ctx context.Context, method, addr, path string, data []byte) (Answer, []byte, error) {
+	callCtx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(callCtx, method, "http://"+addr+path, bytes.NewReader(data))
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return Answer{}, nil, err
+	}
+	var ans Answer
+	if err := json.Unmarshal(text, &ans); err != nil {
+		return Answer{}, nil, err
+	}
+	return ans, text, nil
+}
--- /dev/null
+++ b/internal/job/service/service_test.go
@@ -0,0 +1,218 @@
+package service_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/contract/jobhttp"
+	"greengageweir/internal/contract/taskapi"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/job/owner"
+	"greengageweir/internal/job/service"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/link/peer"
+	"greengageweir/internal/member/links"
+	"greengageweir/internal/standin/taskworker"
+	"greengageweir/internal/state/node"
+	"greengageweir/internal/state/wal"
+
+	weir "greengageweir"
+)
+
+const (
+	self    = "127.0.0.1:1"
+	soon    = 20 * time.Second
+	looking = 20 * time.Millisecond
+)
+
+// system is one process that takes jobs, with workers that pretend to work.
+type system struct {
+	t       *testing.T
+	dir     string
+	cl      *jobhttp.Client
+	workers []*taskworker.Worker
+	calls   []jobapi.Announcement
+	stop    func()
+}
+
+func newSystem(t *testing.T, workers int) *system {
+	sy := &system{t: t, dir: filepath.Join(t.TempDir(), "data")}
+	require.NoError(t, wal.FormatInitial(sy.dir, []string{self}))
+	for ix := range workers {
+		wk := &taskworker.Worker{ID: weir.InstanceID(fmt.Sprint("w", ix)), Born: 1, Clock: clock.System{}}
+		srv := httptest.NewServer(taskapi.Routes(wk))
+		t.Cleanup(srv.Close)
+		sy.workers = append(sy.workers, wk)
+		sy.calls = append(sy.calls, jobapi.Announcement{Worker: store.Worker{
+			ID: wk.ID, Born: 1, Pool: "desk", Address: srv.Listener.Addr().String(), Room: spec.Need{MilliCPU: 4000, MemoryMB: 1000},
+		}})
+	}
+	sy.start()
+	t.Cleanup(func() { sy.stop() })
+	return sy
+}
+
+// start runs the process on the data that is there.
+func (sy *system) start() {
+	steady, wall, lg := clock.Steady{}, clock.Wall{}, log.NewNopLogger()
+	str := store.New()
+	str.Clock = steady
+	lks := &links.Links{Self: peer.Identity{ID: self}, Token: "token", Logger: lg}
+	nod := &node.Node{
+		ID: self, Dir: sy.dir, Machine: str, Send: lks.Send, Clock: steady, Logger: lg,
+		Heartbeat: 20 * time.Millisecond, Election: 150 * time.Millisecond,
+	}
+	com := &owner.Committer{Log: nod, Wall: wall}
+	own := &owner.Owner{
+		Store: str, Committer: com, Lead: nod, Workers: taskapi.NewClient(steady), Clock: steady, Wall: wall, Logger: lg,
+		Lease: 3 * time.Second, Retention: time.Minute,
+	}
+	str.Applied = own.Wake
+	svc := &service.Service{
+		Self: self, Store: str, Committer: com, Owner: own, Lead: nod, Links: lks, Clock: steady, Wall: wall, Logger: lg,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, stp := range []weir.Step{lks, nod, com, own} {
+		require.NoError(sy.t, stp.Default())
+		wg.Go(func() { _ = stp.Run(ctx) })
+	}
+	srv := httptest.NewServer(jobhttp.Routes(svc, wall))
+	sy.cl = &jobhttp.Client{Addrs: []string{srv.Listener.Addr().String()}}
+	sy.stop = func() {
+		srv.Close()
+		cancel()
+		wg.Wait()
+	}
+	for _, ann := range sy.calls {
+		sy.must(http.MethodPut, "/v1/workers/"+string(ann.ID), ann)
+	}
+}
+
+func (sy *system) do(method, path string, body any) (jobhttp.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	ans, _, err := sy.cl.Do(ctx, method, path, body)
+	return ans, err
+}
+
+func (sy *system) must(method, path string, body any) jobhttp.Answer {
+	ans, err := sy.do(method, path, body)
+	require.NoError(sy.t, err)
+	return ans
+}
+
+func (sy *system) submit(id, text string, steps ...jobhttp.Step) {
+	sy.must(http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: weir.JobID(id), Job: jobhttp.Job{Text: text, Steps: steps}})
+}
+
+func (sy *system) phase(id string) store.Phase {
+	return sy.must(http.MethodGet, "/v1/jobs?queue=q&id="+id, nil).Phase
+}
+
+func (sy *system) awaitPhase(id string, want store.Phase) {
+	require.Eventually(sy.t, func() bool { return sy.phase(id) == want }, soon, looking, "%s is to be %s", id, want)
+}
+
+// done counts how often each task was done, over all workers.
+func (sy *system) done() map[weir.TaskRef]int {
+	out := map[weir.TaskRef]int{}
+	for _, wk := range sy.workers {
+		for task, count := range wk.Done() {
+			out[task] += count
+		}
+	}
+	return out
+}
+
+func put(t *testing.T, sy *system) {
+	t.Helper()
+	ans := sy.must(http.MethodPut, "/v1/catalog", map[string]any{
+		"version": 1,
+		"queues": []map[string]any{{
+			"name": "q", "pool": "desk", "timeoutMillis": 1000, "targetMillis": 500, "stretch": 2, "maxAttempts": 2,
+		}},
+		"pools": []map[string]any{{"name": "desk", "guards": true}},
+	})
+	require.Equal(t, jobapi.OK, ans.Outcome)
+}
+
+func TestJobOfTwoStepsIsDoneOnce(t *testing.T) {
+	sy := newSystem(t, 2)
+	put(t, sy)
+	step := jobhttp.Step{Count: 5, MilliCPU: 1000, EstimateMillis: 50}
+	second := step
+	second.After = []int{0}
+	sy.submit("a", "50ms", step, second)
+	sy.submit("a", "50ms", step, second)
+	sy.awaitPhase("a", store.Done)
+	done := sy.done()
+	require.Len(t, done, 10)
+	for task, count := range done {
+		require.Equal(t, 1, count, "%+v", task)
+	}
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	sy := newSystem(t, 1)
+	put(t, sy)
+	sy.submit("long", "10m", jobhttp.Step{Count: 2, MilliCPU: 1000, EstimateMillis: 600_000})
+	sy.awaitPhase("long", store.Running)
+	require.Equal(t, store.Cancelled, sy.must(http.MethodDelete, "/v1/jobs?queue=q&id=long", nil).Phase)
+	// The room is free again: another job that needs all of it is done.
+	sy.submit("next", "10ms", jobhttp.Step{Count: 4, MilliCPU: 1000, EstimateMillis: 10})
+	sy.awaitPhase("next", store.Done)
+}
+
+func TestRestartKeepsJobsAndRunsNothingTwice(t *testing.T) {
+	sy := newSystem(t, 2)
+	put(t, sy)
+	sy.submit("before", "20ms", jobhttp.Step{Count: 2, MilliCPU: 1000, EstimateMillis: 20})
+	sy.awaitPhase("before", store.Done)
+	sy.submit("during", "900ms", jobhttp.Step{Count: 4, MilliCPU: 1000, EstimateMillis: 900})
+	sy.awaitPhase("during", store.Running)
+	sy.stop()
+	sy.start()
+	require.Equal(t, store.Done, sy.phase("before"))
+	sy.awaitPhase("during", store.Done)
+	for task, count := range sy.done() {
+		require.Equal(t, 1, count, "%+v", task)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	sy := newSystem(t, 0)
+	refused := func(outcome jobapi.Outcome, method, path string, body any) {
+		t.Helper()
+		ans, err := sy.do(method, path, body)
+		require.True(t, fault.Is(err, jobhttp.KindRefused), "%v", err)
+		require.Equal(t, outcome, ans.Outcome)
+	}
+	put(t, sy)
+	refused(jobapi.NoQueue, http.MethodGet, "/v1/jobs?queue=other&id=a", nil)
+	refused(jobapi.NoJob, http.MethodGet, "/v1/jobs?queue=q&id=nobody", nil)
+	refused(jobapi.NoJob, http.MethodDelete, "/v1/jobs?queue=q&id=nobody", nil)
+	refused(jobapi.NoJob, http.MethodGet, "/v1/waves/7", nil)
+	refused(jobapi.Invalid, http.MethodPost, "/v1/waves", jobhttp.Wave{Number: 1})
+	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a"})
+	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", map[string]any{"queue": "q", "id": "a", "jobs": 1})
+	refused(jobapi.Invalid, http.MethodPut, "/v1/catalog", map[string]any{
+		"version": 2, "queues": []map[string]any{{"name": "q", "pool": "nobody", "timeoutMillis": 1}},
+	})
+	require.Equal(t, 0, sy.must(http.MethodGet, "/v1/jobs?queue=q", nil).Pending)
+	sy.submit("waits", "", jobhttp.Step{Count: 1, MilliCPU: 1})
+	require.Equal(t, 1, sy.must(http.MethodGet, "/v1/jobs?queue=q", nil).Pending)
+	require.Equal(t, store.Queued, sy.phase("waits"))
+}
--- /dev/null
+++ b/internal/link/httpconn/pools.go
@@ -0,0 +1,45 @@
+package httpconn
+
+import (
+	"sync"
+
+	weir "greengageweir"
+)
+
+// Pools holds a pool for each address that is used. It is safe for concurrent
+// use.
+type Pools struct {
+	limit int
+	clk   weir.Clock
+
+	mu    sync.Mutex
+	pools map[string]*Pool
+}
+
+// NewPools returns pools of at most limit connections each.
+func NewPools(limit int, clk weir.Clock) *Pools {
+	return &Pools{limit: limit, clk: clk, pools: map[string]*Pool{}}
+}
+
+// Get returns the pool of an address.
+func (ps *Pools) Get(addr string) *Pool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	pl := ps.pools[addr]
+	if pl == nil {
+		pl = NewPool(addr, ps.limit, ps.clk)
+		ps.pools[addr] = pl
+	}
+	return pl
+}
+
+// Forget closes the connections to an address.
+func (ps *Pools) Forget(addr string) {
+	ps.mu.Lock()
+	pl := ps.pools[addr]
+	delete(ps.pools, addr)
+	ps.mu.Unlock()
+	if pl != nil {
+		pl.Close()
+	}
+}
--- a/internal/schedule/plan/load_test.go
+++ b/internal/schedule/plan/load_test.go
@@ -41,20 +41,21 @@
 }
 
 const (
-	loadStep  = 20 * time.Millisecond
-	loadCores = 64
+	loadStep    = 20 * time.Millisecond
+	loadCores   = 64
+	loadWorkers = 4
 	// loadFor is how long jobs arrive, loadUntil how long they are watched.
 	loadFor   = 6 * time.Second
 	loadUntil = 40 * time.Second
 )
 
 // newLoad draws jobs for about twice what the workers can do while they come.
-func newLoad(seed int64, workers int) *load {
+func newLoad(seed int64) *load {
 	ld := &load{rng: rand.New(rand.NewSource(seed))}
-	for ix := range workers {
+	for ix := range loadWorkers {
 		ld.workers = append(ld.workers, worker(fmt.Sprint("w", ix), loadCores))
 	}
-	capacity := float64(workers*loadCores) * loadFor.Seconds()
+	capacity := float64(loadWorkers*loadCores) * loadFor.Seconds()
 	for work := 0.0; work < 2*capacity; {
 		jb := &loadJob{
 			id: fmt.Sprint("j", len(ld.jobs)), arrives: time.Duration(ld.rng.Int63n(int64(loadFor))),
@@ -133,9 +134,9 @@
 func TestLeastWorkFirstServesMoreCallers(t *testing.T) {
 	total, met, baseline := 0, 0, 0
 	for seed := range int64(5) {
-		met += newLoad(seed, 4).play(true)
-		baseline += newLoad(seed, 4).play(false)
-		total += len(newLoad(seed, 4).jobs)
+		met += newLoad(seed).play(true)
+		baseline += newLoad(seed).play(false)
+		total += len(newLoad(seed).jobs)
 	}
 	t.Logf("of %d jobs met their objective: %d by least work, %d by latest start", total, met, baseline)
 	require.Greater(t, met, baseline+total/10, "a tenth more of the callers are served in time")
@@ -143,7 +144,7 @@
 
 // TestNobodyWaitsForEver: every job ends once the peak is over.
 func TestNobodyWaitsForEver(t *testing.T) {
-	ld := newLoad(1, 4)
+	ld := newLoad(1)
 	ld.play(true)
 	for _, jb := range ld.jobs {
 		require.Zero(t, jb.unending, "%s of width %d", jb.id, jb.width)
