feat: arriving work is counted over 0.4 s

Cause: at the start of a turn machines came late. Change: the window of arriving work is 0.4 s instead of 0.6 s.

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -40,7 +40,7 @@
 const (
 	// Window is how far back arriving work is counted: long enough for some
 	// jobs of a rising queue, short against the time that a move takes.
-	Window = 600 * time.Millisecond
+	Window = 400 * time.Millisecond
 	// Hold is how long a pool keeps what it needed last before machines stand
 	// by. Two moves cost about as much as a machine for two to three seconds.
 	Hold = 2 * time.Second
