fix: a task is stopped for want of progress once only

Change: a task that was slow elsewhere before is left alone, and its worker is not blamed. Figures: TestLongTaskIsStoppedOnce fails before and passes after.

--- a/internal/job/owner/health.go
+++ b/internal/job/owner/health.go
@@ -55,6 +55,7 @@
 	case store.EndDone:
 		hl.failures, hl.rest, hl.restUntil = 0, 0, time.Time{}
 		delete(re.avoid, en.Task)
+		delete(re.slow, en.Task)
 	case store.EndFailed:
 		re.avoid[en.Task] = id
 		hl.failures++
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -105,6 +105,8 @@
 	// evicted holds runs that are to be stopped, so that their tasks run
 	// elsewhere.
 	evicted map[weir.RunKey]bool
+	// slow holds tasks that were stopped once for want of progress.
+	slow map[weir.TaskRef]bool
 	// watched holds the progress of runs.
 	watched map[weir.RunKey]progress
 }
@@ -171,6 +173,7 @@
 		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
 		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
 		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{}, watched: map[weir.RunKey]progress{},
+		slow: map[weir.TaskRef]bool{},
 	}
 	ow.setReign(re)
 	defer ow.setReign(nil)
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -101,3 +101,21 @@
 	require.False(t, re.health["w"].suspect(testNow))
 	require.Empty(t, re.avoid)
 }
+
+func TestLongTaskIsStoppedOnce(t *testing.T) {
+	ow := &Owner{Logger: log.NewNopLogger(), wake: make(chan struct{}, 1)}
+	re := &reign{
+		health: map[weir.InstanceID]*health{}, avoid: map[spec.Ref]weir.InstanceID{}, slow: map[spec.Ref]bool{},
+		evicted: map[weir.RunKey]bool{}, sessions: map[weir.InstanceID]*attended{"w1": {}, "w2": {}},
+	}
+	step := spec.Step{Estimate: time.Second}
+	crawl := progress{}.seen(0, testNow).seen(5, after(2000))
+	first := weir.RunKey{Task: spec.Ref{Job: "a"}, Run: 1}
+	ow.judge(re, "w1", first, crawl, step, after(2000))
+	require.True(t, re.evicted[first], "perhaps the worker is slow")
+	require.Equal(t, weir.InstanceID("w1"), re.avoid[first.Task])
+	second := weir.RunKey{Task: spec.Ref{Job: "a"}, Run: 2}
+	ow.judge(re, "w2", second, crawl, step, after(2000))
+	require.False(t, re.evicted[second], "it is the task")
+	require.Nil(t, re.health["w2"], "and the worker is not blamed")
+}
--- a/internal/job/owner/progress.go
+++ b/internal/job/owner/progress.go
@@ -110,13 +110,15 @@
 
 func (ow *Owner) judge(re *reign, id weir.InstanceID, key weir.RunKey, pg progress, step spec.Step, arrived time.Time) {
 	verdict := pg.judge(arrived, step.Estimate)
-	if verdict == paceGood {
+	if verdict == paceGood || re.slow[key.Task] {
+		// A task that was slow elsewhere too is long by itself.
 		return
 	}
 	hl := re.healthOf(id)
 	hl.slowUntil = arrived.Add(slowFor)
 	if verdict == paceHopeless && !re.evicted[key] {
 		re.avoid[key.Task] = id
+		re.slow[key.Task] = true
 		_ = ow.Logger.Log("level", "info", "msg", "run too slow", "job", key.Task.Job, "task", key.Task, "run", key.Run,
 			"worker", id, "percent", pg.percent, "watched", arrived.Sub(pg.since).String(), "estimate", step.Estimate.String())
 		ow.evict(re, id, key)
