feat: queues with an adviser; gangs that fail and resume as one

Cause: the contracts in force name advice and gangs, which the two sites' queues do not use today; a start there would have been rejected for want of a ticket, and a gang's members counted a failure each. Ruled out: asking for each task (the adviser answers in turn, and slowly). Change: a step is asked about once, its tickets are kept while they hold, and only the workers named are used; a gang's failure counts once a run, and all members resume from the same checkpoint. Figures: in-process test with an adviser that fails once and tickets that expire; store tests for gangs.

--- a/cmd/greengageweir/holder.go
+++ b/cmd/greengageweir/holder.go
@@ -52,6 +52,7 @@
 	Turn     time.Duration
 	Workers  weir.TaskWorkers
 	Machines weir.MachinePlatform
+	Adviser  weir.Adviser
 	Logger   log.Logger
 
 	node    *node.Node
@@ -76,7 +77,7 @@
 	}
 	com := &owner.Committer{Log: ho.node, Wall: wall}
 	own := &owner.Owner{
-		Store: str, Committer: com, Lead: ho.node, Workers: ho.Workers, Machines: ho.Machines, Clock: steady, Wall: wall, Logger: lg,
+		Store: str, Committer: com, Lead: ho.node, Workers: ho.Workers, Machines: ho.Machines, Adviser: ho.Adviser, Clock: steady, Wall: wall, Logger: lg,
 		Lease: workerLease, Retention: ho.Retention, HolderName: ho.Name, OrderPause: ho.Turn,
 	}
 	str.Applied = own.Wake
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -58,5 +58,8 @@
 	if st.Cloud.Address != "" {
 		ho.Machines = platform.NewMachines(st.Cloud.Address, clock.Steady{})
 	}
+	if st.Adviser != "" {
+		ho.Adviser = platform.NewAdviser(st.Adviser, clock.Steady{})
+	}
 	return ho
 }
--- a/internal/contract/jobhttp/jobhttp.go
+++ b/internal/contract/jobhttp/jobhttp.go
@@ -51,6 +51,16 @@
 	Stretch       float64       `json:"stretch"`
 	Priority      int           `json:"priority"`
 	MaxAttempts   int           `json:"maxAttempts"`
+	// Advice is set where the adviser names the workers of a step.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Advice tells how the adviser answers: after a base time and some for each
+// worker that it is asked about, with tickets that hold for a while.
+type Advice struct {
+	BaseMillis      int64 `json:"baseMillis"`
+	PerWorkerMillis int64 `json:"perWorkerMillis"`
+	ValidityMillis  int64 `json:"validityMillis"`
 }
 
 // Catalog is a configuration as operators write it.
@@ -66,10 +76,16 @@
 func (ct Catalog) decode(document []byte) *catalog.Catalog {
 	out := &catalog.Catalog{Version: ct.Version, Pools: ct.Pools, Document: document}
 	for _, qu := range ct.Queues {
-		out.Queues = append(out.Queues, catalog.Queue{
+		queue := catalog.Queue{
 			Name: qu.Name, Host: host, Prefix: "/" + qu.Name + "/", Pool: qu.Pool, Timeout: millis(qu.TimeoutMillis),
 			Target: millis(qu.TargetMillis), Stretch: qu.Stretch, Priority: qu.Priority, MaxAttempts: qu.MaxAttempts,
-		})
+		}
+		if ad := qu.Advice; ad != nil {
+			queue.Advice = &catalog.Advice{
+				Base: millis(ad.BaseMillis), PerWorker: millis(ad.PerWorkerMillis), Validity: millis(ad.ValidityMillis),
+			}
+		}
+		out.Queues = append(out.Queues, queue)
 	}
 	return out
 }
--- a/internal/job/owner/health.go
+++ b/internal/job/owner/health.go
@@ -71,8 +71,11 @@
 
 // noteRefusal learns from a start that a worker refused.
 func (ow *Owner) noteRefusal(re *reign, id weir.InstanceID, key weir.RunKey, reason weir.Refusal, now time.Time) {
-	hl := re.healthOf(id)
-	hl.restUntil = now.Add(refusalRest)
+	if reason == weir.RefusedTicket {
+		delete(re.advice, key.Task.StepRef())
+	} else {
+		re.healthOf(id).restUntil = now.Add(refusalRest)
+	}
 	metrics.GetOrCreateCounter(`weir_starts_refused_total{reason="` + string(reason) + `"}`).Inc()
 	_ = ow.Logger.Log("level", "info", "msg", "start refused", "job", key.Task.Job, "task", key.Task, "run", key.Run,
 		"worker", id, "reason", string(reason))
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -67,6 +67,8 @@
 	Workers   weir.TaskWorkers
 	// Machines may be nil where no platform can be asked for maintenance.
 	Machines weir.MachinePlatform
+	// Adviser may be nil where no queue needs advice.
+	Adviser weir.Adviser
 	// Clock is steady and counts time in which the machine stood still; Wall
 	// tells the time of day.
 	Clock  weir.Clock
@@ -107,6 +109,9 @@
 	evicted map[weir.RunKey]bool
 	// slow holds tasks that were stopped once for want of progress.
 	slow map[weir.TaskRef]bool
+	// advice holds what the adviser said; asking says that it is being asked.
+	advice map[weir.TaskRef]*advised
+	asking bool
 	// watched holds the progress of runs.
 	watched map[weir.RunKey]progress
 }
@@ -173,7 +178,7 @@
 		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
 		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
 		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{}, watched: map[weir.RunKey]progress{},
-		slow: map[weir.TaskRef]bool{},
+		slow: map[weir.TaskRef]bool{}, advice: map[weir.TaskRef]*advised{},
 	}
 	ow.setReign(re)
 	defer ow.setReign(nil)
@@ -265,7 +270,7 @@
 		re.maintained = now
 		ow.maintain(ctx, re, now)
 	}
-	ow.place(re, now)
+	ow.place(ctx, re, now)
 }
 
 // attend starts and ends sessions as workers come and go.
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"time"
 
 	"greengageweir/internal/config/catalog"
@@ -15,13 +16,13 @@
 
 // place commits and orders the starts that the plan asks for. Only one plan is
 // under way at a time, since the next must know of its starts.
-func (ow *Owner) place(re *reign, now time.Time) {
+func (ow *Owner) place(ctx context.Context, re *reign, now time.Time) {
 	if re.planning {
 		return
 	}
 	var starts []plan.Placement
 	ow.Store.Read(func(rd store.Reader) {
-		groups := ow.ready(re, rd)
+		groups := ow.ready(ctx, re, rd)
 		if len(groups) > 0 {
 			starts = plan.Place(ow.Wall.Now(), groups, ow.usable(re, rd, now))
 		}
@@ -68,20 +69,21 @@
 	if at == nil || at.worker.Born != pl.Born || js == nil || js.Phase.Over() {
 		return
 	}
-	tk := js.Task(pl.Task)
-	if tk == nil {
+	if js.Task(pl.Task) == nil {
 		return
 	}
-	at.ss.Start(weir.RunOrder{
-		RunKey: weir.RunKey{Task: pl.Task, Run: pl.Run}, Text: js.Spec.Text, Checkpoint: tk.Checkpoint,
-	})
+	order := weir.RunOrder{RunKey: weir.RunKey{Task: pl.Task, Run: pl.Run}, Text: js.Spec.Text, Checkpoint: js.Checkpoint(pl.Task)}
+	if ad := re.advice[pl.Task.StepRef()]; ad != nil {
+		order.Ticket = ad.tickets[pl.Worker]
+	}
+	at.ss.Start(order)
 	metrics.GetOrCreateCounter("weir_runs_ordered_total").Inc()
 	_ = ow.Logger.Log("level", "debug", "msg", "run ordered", "job", pl.Task.Job, "task", pl.Task, "run", pl.Run,
-		"worker", pl.Worker, "checkpoint", tk.Checkpoint)
+		"worker", pl.Worker, "checkpoint", order.Checkpoint)
 }
 
 // ready lists the steps with tasks that may start now.
-func (ow *Owner) ready(re *reign, rd store.Reader) []plan.Group {
+func (ow *Owner) ready(ctx context.Context, re *reign, rd store.Reader) []plan.Group {
 	var groups []plan.Group
 	ct := rd.Catalog()
 	wall := ow.Wall.Now()
@@ -101,6 +103,12 @@
 			for sp := range js.Rounds[oc] {
 				if gr, ok := ow.group(re, js, qu, oc, sp); ok {
 					gr.Work = work
+					if qu.Advice != nil {
+						gr.Allowed = ow.tickets(ctx, re, rd, gr.Step, qu)
+						if gr.Allowed == nil {
+							continue
+						}
+					}
 					groups = append(groups, gr)
 				}
 			}
@@ -176,6 +184,9 @@
 	return objective.Add(-rest[sp])
 }
 
+// workerView is a worker as the plan sees it.
+type workerView = plan.Worker
+
 // usable lists the workers that can take tasks now.
 func (ow *Owner) usable(re *reign, rd store.Reader, now time.Time) []plan.Worker {
 	workers := make([]plan.Worker, 0, len(re.sessions))
--- a/internal/job/service/service_test.go
+++ b/internal/job/service/service_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,16 @@
 	workers []*taskworker.Worker
 	calls   []jobapi.Announcement
 	stop    func()
+	// asked counts the questions to the adviser, which allows w1 only.
+	asked atomic.Int32
+}
+
+// Advise implements weir.Adviser.
+func (sy *system) Advise(context.Context, weir.TaskRef, []weir.InstanceID) (weir.Advice, error) {
+	if sy.asked.Add(1) == 1 {
+		return weir.Advice{}, &owner.Error{Op: "advise", Kind: owner.KindBusy}
+	}
+	return weir.Advice{Tickets: map[weir.InstanceID]string{"w1": "ticket"}, Validity: 500 * time.Millisecond}, nil
 }
 
 func newSystem(t *testing.T, workers int) *system {
@@ -77,7 +88,7 @@
 	com := &owner.Committer{Log: nod, Wall: wall}
 	own := &owner.Owner{
 		Store: str, Committer: com, Lead: nod, Workers: taskapi.NewClient(steady), Clock: steady, Wall: wall, Logger: lg,
-		Lease: 3 * time.Second, Retention: time.Minute,
+		Lease: 3 * time.Second, Retention: time.Minute, Adviser: sy,
 	}
 	str.Applied = own.Wake
 	svc := &service.Service{
@@ -143,6 +154,9 @@
 		"version": 1,
 		"queues": []map[string]any{{
 			"name": "q", "pool": "desk", "timeoutMillis": 1000, "targetMillis": 500, "stretch": 2, "maxAttempts": 2,
+		}, {
+			"name": "advised", "pool": "desk", "timeoutMillis": 1000, "targetMillis": 500, "stretch": 2, "maxAttempts": 2,
+			"advice": map[string]any{"baseMillis": 10, "perWorkerMillis": 1, "validityMillis": 500},
 		}},
 		"pools": []map[string]any{{"name": "desk", "guards": true}},
 	})
@@ -192,6 +206,24 @@
 	}
 }
 
+func TestAdvisedStepsRunWhereTheyMay(t *testing.T) {
+	sy := newSystem(t, 3)
+	put(t, sy)
+	step := jobhttp.Step{Count: 4, MilliCPU: 2000, EstimateMillis: 400}
+	second := step
+	second.After = []int{0}
+	sy.must(http.MethodPost, "/v1/jobs", jobhttp.Submission{
+		Queue: "advised", ID: "a", Job: jobhttp.Job{Text: "400ms", Steps: []jobhttp.Step{step, second}},
+	})
+	require.Eventually(t, func() bool {
+		return sy.must(http.MethodGet, "/v1/jobs?queue=advised&id=a", nil).Phase == store.Done
+	}, soon, looking)
+	require.Len(t, sy.workers[1].Done(), 8)
+	require.Empty(t, sy.workers[0].Done())
+	require.Empty(t, sy.workers[2].Done())
+	require.GreaterOrEqual(t, int(sy.asked.Load()), 4, "one fails, each step is asked about, and tickets expire")
+}
+
 func TestRefusals(t *testing.T) {
 	sy := newSystem(t, 0)
 	refused := func(outcome jobapi.Outcome, method, path string, body any) {
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -32,8 +32,10 @@
 	Worker weir.InstanceID `json:"w,omitempty"`
 	Born   int64           `json:"b,omitempty"`
 	Done   bool            `json:"d,omitempty"`
-	// Failures counts the runs that ended as failed.
-	Failures int `json:"f,omitempty"`
+	// Failures counts the runs that ended as failed, and FailedRun is the last
+	// of them; a gang's are kept with its first task.
+	Failures  int `json:"f,omitempty"`
+	FailedRun int `json:"fr,omitempty"`
 	// Checkpoint is where the next run resumes.
 	Checkpoint string `json:"cp,omitempty"`
 	// StartedAt is when the latest run was ordered, EndedAt when it ended.
@@ -79,6 +81,20 @@
 	return &st.Tasks[rf.Index]
 }
 
+// Checkpoint returns where the next run of a task resumes. All members of a
+// gang resume from the same.
+func (js *JobState) Checkpoint(rf spec.Ref) string {
+	if !js.Spec.Steps[rf.Step].Gang {
+		return js.Task(rf).Checkpoint
+	}
+	for ix := range js.Rounds[rf.Occurrence][rf.Step].Tasks {
+		if cp := js.Rounds[rf.Occurrence][rf.Step].Tasks[ix].Checkpoint; cp != "" {
+			return cp
+		}
+	}
+	return ""
+}
+
 // StepReady reports whether all steps before a step are done.
 func (js *JobState) StepReady(occurrence, step int) bool {
 	for _, before := range js.Spec.Steps[step].After {
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -238,7 +238,7 @@
 	switch {
 	case tk == nil:
 		return refused("no such task")
-	case tk.Done || tk.Run != sa.Run-1:
+	case tk.Done || !follows(js.Spec.Steps[sa.Task.Step], tk.Run, sa.Run):
 		return refused("not the next run")
 	case tk.Placed() && !js.Spec.Steps[sa.Task.Step].Copies:
 		return refused("a run is not over")
@@ -280,15 +280,35 @@
 	case en.How == EndDone && !step.Lasting:
 		st.taskDone(at, js, en.Task, tk, step)
 	case en.How == EndFailed && !step.Lasting:
-		tk.Failures++
-		if qu, ok := st.Catalog.ByKey(js.Spec.Queue); ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Over() {
-			st.end(at, js, Failed)
-		}
+		st.taskFailed(at, js, en, tk, step)
 	}
 	st.settle(js)
 	return taken
 }
 
+// follows reports whether a run may follow another. The members of a gang
+// share their run's number, so one of them may skip some.
+func follows(step spec.Step, last, next int) bool {
+	return next == last+1 || (step.Gang && next > last)
+}
+
+// taskFailed counts a failure. A gang fails once a run, however many of its
+// members say so.
+func (st *state) taskFailed(at time.Time, js *JobState, en *End, tk *Task, step spec.Step) {
+	if step.Gang {
+		tk = &js.Rounds[en.Task.Occurrence][en.Task.Step].Tasks[0]
+	}
+	if tk.FailedRun >= en.Run {
+		return
+	}
+	tk.FailedRun = en.Run
+	tk.Failures++
+	qu, ok := st.Catalog.ByKey(js.Spec.Queue)
+	if ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Over() {
+		st.end(at, js, Failed)
+	}
+}
+
 func (st *state) free(at time.Time, js *JobState, rf spec.Ref, tk *Task) {
 	st.dropRun(rf, tk)
 	tk.Worker, tk.Born, tk.EndedAt = "", 0, at
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -221,6 +221,30 @@
 	fx.sr.Read(func(rd Reader) { require.Len(t, rd.Runs("w0"), 1, "the other is still to be seen off") })
 }
 
+func TestGangFailsOnceARun(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", spec.Step{Count: 2, Gang: true, Checkpointing: true})
+	for run := 1; run <= 2; run++ {
+		fx.taken(start("a", 0, 0, run, 0))
+		fx.taken(start("a", 0, 1, run, 1))
+		require.Equal(t, Running, fx.phase("a"))
+		fx.taken(end("a", 0, 0, run, EndFailed))
+		if run == 1 {
+			fx.taken(end("a", 0, 1, run, EndFailed))
+		}
+	}
+	require.Equal(t, Failed, fx.phase("a"), "two runs have failed")
+
+	fx.submit("b", spec.Step{Count: 2, Gang: true, Checkpointing: true})
+	fx.taken(start("b", 0, 0, 1, 0))
+	fx.taken(Change{End: &End{Task: spec.Ref{Job: "b"}, Run: 1, How: EndBroken, Checkpoint: "here"}})
+	fx.taken(start("b", 0, 0, 2, 0))
+	fx.taken(start("b", 0, 1, 2, 1))
+	fx.sr.Read(func(rd Reader) {
+		require.Equal(t, "here", rd.Job("b").Checkpoint(spec.Ref{Job: "b", Index: 1}), "all resume from the same")
+	})
+}
+
 // TestRandomChanges applies changes at random and checks after each that no
 // finished task is placed, that no task is at two workers, that the indexes
 // say what the tasks say, and that a snapshot holds all of it.
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -44,6 +44,8 @@
 	Work float64
 	// On counts the step's runs at each worker.
 	On map[weir.InstanceID]int
+	// Allowed holds the only workers that may run the step; nil allows all.
+	Allowed map[weir.InstanceID]string
 }
 
 // Worker is a worker that may take tasks.
@@ -192,6 +194,9 @@
 
 func (wk *Worker) accepts(gr Group, on map[weir.InstanceID]int) bool {
 	st := gr.Spec
+	if _, ok := gr.Allowed[wk.ID]; gr.Allowed != nil && !ok {
+		return false
+	}
 	if st.Label != "" && st.Label != wk.Kind && st.Label != wk.Rack {
 		return false
 	}
--- a/internal/schedule/plan/plan_test.go
+++ b/internal/schedule/plan/plan_test.go
@@ -118,6 +118,11 @@
 			[]Worker{worker("w1", 2), func() Worker { wk := worker("w2", 64); wk.Serving = 1; return wk }()},
 			map[string]int{"a on w2": 2},
 		},
+		"only where the adviser allows it": {
+			[]Group{group("a", spec.Step{Count: 3, Need: cores(1)}, func(gr *Group) { gr.Allowed = map[weir.InstanceID]string{"w2": "ticket"} })},
+			[]Worker{worker("w1", 64), worker("w2", 2)},
+			map[string]int{"a on w2": 2},
+		},
 		"another pool's workers are not used": {
 			[]Group{group("a", spec.Step{Count: 1, Need: cores(1)}, func(gr *Group) { gr.Pool = "lab" })},
 			[]Worker{worker("w1", 2)},
--- a/task.go
+++ b/task.go
@@ -196,3 +196,18 @@
 	Machines(ctx context.Context) ([]Machine, error)
 	Order(ctx context.Context, order MachineOrder) (MachineAnswer, error)
 }
+
+// Advice names the workers that may run a step, with the ticket that each
+// start there must carry.
+type Advice struct {
+	Tickets map[InstanceID]string
+	// Validity is how long the tickets hold.
+	Validity time.Duration
+}
+
+// Adviser tells which workers may run a step. It answers one question of a
+// process at a time, and slowly; the answer for a step does not change, but
+// tickets expire.
+type Adviser interface {
+	Advise(ctx context.Context, step TaskRef, workers []InstanceID) (Advice, error)
+}
