feat: log lines from a job's id to its placing, its losses and its end

Cause: a late job could not be followed by its id: runs lost with their worker and the placing of tasks were not in the log at the usual level. Change: one line for each placing of a step, each run lost with its worker, each cancel and each job's end.

--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -367,12 +367,29 @@
 		if out.Number > 0 {
 			at.ss.Recorded(out.Number)
 		}
+		ow.tellEnded(out.Ends)
 	}
 	if !ow.Committer.Submit(changes, reply) {
 		at.ss.NotRecorded()
 	}
 }
 
+// tellEnded logs the jobs that recorded ends have brought to theirs.
+func (ow *Owner) tellEnded(ends []store.End) {
+	told := map[weir.JobID]bool{}
+	ow.Store.Read(func(rd store.Reader) {
+		for _, en := range ends {
+			js := rd.Job(en.Task.Job)
+			if js == nil || !js.Phase.Over() || told[en.Task.Job] {
+				continue
+			}
+			told[en.Task.Job] = true
+			_ = ow.Logger.Log("level", "info", "msg", "job ended", "job", en.Task.Job, "phase", string(js.Phase),
+				"queue", js.Spec.Queue, "after", js.Ended.Sub(js.Accepted).String())
+		}
+	})
+}
+
 // dropWorker ends a life whose lease has surely lapsed.
 func (ow *Owner) dropWorker(re *reign, at *attended, now time.Time) {
 	wk := at.worker
@@ -387,6 +404,10 @@
 // a checkpoint keep it.
 func (ow *Owner) leave(re *reign, rd store.Reader, wk store.Worker, reason string) []store.Change {
 	var changes []store.Change
+	for key := range rd.Runs(wk.ID) {
+		_ = ow.Logger.Log("level", "info", "msg", "run lost with its worker", "job", key.Task.Job, "task", key.Task,
+			"run", key.Run, "worker", wk.ID, "reason", reason)
+	}
 	if at := re.sessions[wk.ID]; at != nil && at.worker.Born == wk.Born {
 		_, running := at.ss.Running()
 		for _, rt := range running {
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"greengageweir/internal/config/catalog"
@@ -51,6 +53,7 @@
 		_ = ow.Logger.Log("level", "warn", "msg", "starts not committed", "count", len(starts), "err", err)
 		return
 	}
+	placed := map[weir.TaskRef][]weir.InstanceID{}
 	ow.Store.Read(func(rd store.Reader) {
 		for ix, pl := range starts {
 			if !answers[ix].Taken {
@@ -59,8 +62,22 @@
 				continue
 			}
 			ow.order(re, rd, pl)
+			placed[pl.Task.StepRef()] = append(placed[pl.Task.StepRef()], pl.Worker)
 		}
 	})
+	for step, workers := range placed {
+		_ = ow.Logger.Log("level", "info", "msg", "tasks placed", "job", step.Job, "step", step, "count", len(workers),
+			"workers", strings.Join(names(workers), " "))
+	}
+}
+
+// names lists workers without repeating one that stands several times in a row.
+func names(workers []weir.InstanceID) []string {
+	var out []string
+	for _, id := range slices.Compact(workers) {
+		out = append(out, string(id))
+	}
+	return out
 }
 
 func (ow *Owner) order(re *reign, rd store.Reader, pl plan.Placement) {
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -258,6 +258,7 @@
 	if _, failed := sv.commit(ctx, store.Change{Cancel: &id}); failed != nil {
 		return *failed
 	}
+	_ = sv.Logger.Log("level", "info", "msg", "job cancelled", "job", id)
 	sv.Owner.WakeAll()
 	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Cancelled}
 }
--- a/internal/state/replica/types.go
+++ b/internal/state/replica/types.go
@@ -9,7 +9,8 @@
 // from Ongaro's dissertation (sections 9.6 and 6.2). It differs in one point:
 // a member that starts on an empty disk is a learner. It neither votes nor is
 // counted for commits until it applies a Readmit entry that the other members
-// committed without it.
+// committed without it. The set of voters changes by one member at a time, by
+// an entry that is in force once it is appended (section 4.1).
 //
 // Usage:
 //
