feat: machines with lasting tasks go first in a wave

Ruled out: the wave's width (up to five were free). Change: machines with lasting tasks are drained first, two a pool at a time, and do not hold up those without.

--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -28,6 +28,9 @@
 	// drainAhead is how many machines beyond those that may be away are kept
 	// free, so that the next can go at once.
 	drainAhead = 1
+	// lastingAhead is how many machines with lasting tasks of one pool are
+	// kept free at a time: one that goes and the next.
+	lastingAhead = 2
 )
 
 // machineDuty is what a leader knows of maintenance besides the log.
@@ -92,6 +95,7 @@
 type candidate struct {
 	machine string
 	worker  weir.InstanceID
+	pool    weir.PoolName
 	// work counts the runs that end by themselves, lasting those that do not.
 	work     int
 	lasting  int
@@ -181,20 +185,43 @@
 			waiting = append(waiting, ow.candidate(re, rd, machine, byMachine[machine]))
 		}
 	}
+	free := waveWidth(len(waiting), wv.AtOnce, wv.Deadline.Sub(ow.Wall.Now()), md.short) - away
+	sortCandidates(waiting)
+	for _, machine := range toDrain(waiting, free+drainAhead) {
+		md.cordon[machine] = now
+	}
+	ow.begin(re, rd, wv, waiting, free, now)
+}
+
+// sortCandidates puts machines with lasting tasks first: they have to wait for
+// each other, so they hold a wave up if they start late.
+func sortCandidates(waiting []candidate) {
 	slices.SortFunc(waiting, func(one, other candidate) int {
-		return cmp.Or(boolRank(other.cordoned)-boolRank(one.cordoned), cmp.Compare(one.work, other.work),
-			cmp.Compare(one.lasting, other.lasting), cmp.Compare(one.machine, other.machine))
+		return cmp.Or(boolRank(other.cordoned)-boolRank(one.cordoned), boolRank(other.lasting > 0)-boolRank(one.lasting > 0),
+			cmp.Compare(one.work, other.work), cmp.Compare(one.lasting, other.lasting), cmp.Compare(one.machine, other.machine))
 	})
-	free := waveWidth(len(waiting), wv.AtOnce, wv.Deadline.Sub(ow.Wall.Now()), md.short) - away
-	for ix, ca := range waiting {
-		if ix >= free+drainAhead {
-			break
+}
+
+// toDrain returns the machines that are to be kept free of new tasks besides
+// those that are: at most width without lasting tasks, and of those with
+// lasting tasks lastingAhead a pool, as more of them could not go at once.
+func toDrain(waiting []candidate, width int) []string {
+	var out []string
+	plain, lasting := 0, map[weir.PoolName]int{}
+	for _, ca := range waiting {
+		switch {
+		case ca.lasting > 0 && lasting[ca.pool] < lastingAhead:
+			lasting[ca.pool]++
+		case ca.lasting == 0 && plain < width:
+			plain++
+		default:
+			continue
 		}
 		if !ca.cordoned {
-			md.cordon[ca.machine] = now
+			out = append(out, ca.machine)
 		}
 	}
-	ow.begin(re, rd, wv, waiting, free, now)
+	return out
 }
 
 // waveWidth returns how many machines of a wave may be away at a time. While
@@ -320,7 +347,7 @@
 }
 
 func (ow *Owner) candidate(re *reign, rd store.Reader, machine string, wk store.Worker) candidate {
-	ca := candidate{machine: machine, worker: wk.ID, cordoned: re.machines.cordoned(machine)}
+	ca := candidate{machine: machine, worker: wk.ID, pool: wk.Pool, cordoned: re.machines.cordoned(machine)}
 	for key := range rd.Runs(wk.ID) {
 		if rd.Job(key.Task.Job).Spec.Steps[key.Task.Step].Lasting {
 			ca.lasting++
--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -119,3 +119,21 @@
 	require.False(t, re.evicted[second], "it is the task")
 	require.Nil(t, re.health["w2"], "and the worker is not blamed")
 }
+
+func TestMachinesWithLastingTasksGoFirstAndFewAtATime(t *testing.T) {
+	waiting := []candidate{
+		{machine: "idle-1", pool: "a"},
+		{machine: "idle-2", pool: "a"},
+		{machine: "busy", pool: "a", work: 3},
+		{machine: "lasting-a1", pool: "a", lasting: 2},
+		{machine: "lasting-a2", pool: "a", lasting: 1},
+		{machine: "lasting-a3", pool: "a", lasting: 2, work: 1},
+		{machine: "lasting-b1", pool: "b", lasting: 1},
+	}
+	sortCandidates(waiting)
+	require.Equal(t, []string{"lasting-a2", "lasting-b1", "lasting-a1", "idle-1", "idle-2"}, toDrain(waiting, 2))
+	waiting[0].cordoned = true
+	sortCandidates(waiting)
+	require.Equal(t, []string{"lasting-b1", "lasting-a1", "idle-1"}, toDrain(waiting, 1))
+	require.Equal(t, []string{"lasting-b1", "lasting-a1"}, toDrain(waiting, -3), "none of the others while enough are away")
+}
