--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	$(GO) build -ldflags "$(LDFLAGS)" -o $(BIN)/ ./cmd/...
 
 demo: build
-	scripts/demo.sh
 	scripts/demo-jobs.sh
+	scripts/demo.sh
 
 test: build lint check-examples unit
 
