fix: demo and soak name a port that is in use, and run beside each other

Cause: a second fleet on one machine ended with 'configuration not in force'. Change: ports are looked at first; BASE_PORT and OUT set both apart.

--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -3,10 +3,11 @@
 # submits jobs of two steps, kills the leader half way, and sees every job done.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-OUT=${OUT:-out/demo-jobs}
+OUT=${OUT:-out/demo}-jobs
 BIN=${BIN:-bin}
-BASE_PORT=${JOBS_BASE_PORT:-23000}
+BASE_PORT=$((${BASE_PORT:-21000} + 2000))
 declare -A PIDS=()
+. scripts/ports.sh
 fail() {
   echo "demo of jobs: FAILED $*"
   exit 1
@@ -16,6 +17,8 @@
   wait 2>/dev/null || true
 }
 trap stop_all EXIT
+# shellcheck disable=SC2046
+need_ports $(for p in 1 2 3 11 12 13 21 22 23 40 41 42 43; do echo "127.0.0.1:$((BASE_PORT + p))"; done) || fail "see above"
 rm -rf "$OUT"
 mkdir -p "$OUT"
 head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$OUT/peer.token"
@@ -37,7 +40,7 @@
 for i in 1 2 3; do start $i --first-start; done
 "$BIN/weirstandin" task-workers "${JOBS[@]}" --pool desk --count 4 --port $((BASE_PORT + 40)) >"$OUT/workers.log" 2>&1 &
 PIDS[workers]=$!
-"$BIN/weirctl" catalog put "${JOBS[@]}" --file examples/jobs/catalog.json || fail "configuration is not acknowledged (are ports from $BASE_PORT on in use? see $OUT)"
+"$BIN/weirctl" catalog put "${JOBS[@]}" --file examples/jobs/catalog.json || fail "configuration is not acknowledged (see $OUT)"
 
 WAITS=()
 for n in 1 2 3 4 5 6; do
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,6 +13,7 @@
 }
 trap 'fleet_stop' EXIT
 
+fleet_ports || fail "see above"
 fleet_prepare
 fleet_start
 wait_for 15 leader || fail "no leader within 15 s"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -11,6 +11,7 @@
 BIN=${BIN:-bin}
 EXAMPLE=${EXAMPLE:-examples/alokchitra}
 declare -A PIDS=()
+. scripts/ports.sh
 
 # Ports of a process: its number times ten behind the base port.
 control_peer() { echo "127.0.0.1:$((BASE_PORT + $1 * 10))"; }
@@ -118,6 +119,16 @@
     --platform-addr "$(platform_addr "$1")" --journal "$OUT/journals/${ZONES[$1]}.journal" "${flags[@]}"
 }
 
+# fleet_ports succeeds when no other process has the fleet's ports.
+fleet_ports() {
+  local addrs=() i z
+  for ((i = 1; i <= CONTROLS; i++)); do addrs+=("$(control_peer "$i")" "$(control_ops "$i")"); done
+  for ((i = 1; i <= $(entry_count); i++)); do addrs+=("$(entry_peer "$i")" "$(entry_ops "$i")" "$(entry_caller "$i")" "$(entry_endpoint "$i")"); done
+  for z in "${!ZONES[@]}"; do addrs+=("$(platform_addr "$z")"); done
+  [ -z "${RELAY:-}" ] || addrs+=("$(relay_control)")
+  need_ports "${addrs[@]}"
+}
+
 fleet_start() {
   [ -z "${RELAY:-}" ] || start_relay
   for ((i = 1; i <= CONTROLS; i++)); do
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -120,6 +120,7 @@
 FAULTS=(fault_kill_entry fault_kill_control fault_lose_disk fault_freeze_control fault_freeze_entry
   fault_cut_zone fault_silence fault_stop_entry fault_failing_worker operator_race operator_wave operator_move)
 
+fleet_ports || fail "see above"
 fleet_prepare
 cp -r "$EXAMPLE" "$OUT/race-a"
 cp -r "$EXAMPLE" "$OUT/race-b"
