--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"greengageweir/internal/config/catalog"
@@ -94,6 +96,33 @@
 	Unknown Outcome = "unknown"
 )
 
+// Status is the HTTP status that tells an outcome. 503 and 429 promise that
+// the call had no effect, 504 leaves it open.
+func (oc Outcome) Status() int {
+	switch oc {
+	case OK:
+		return http.StatusOK
+	case NoQueue:
+		return http.StatusNotFound
+	case NoJob:
+		return http.StatusGone
+	case Invalid:
+		return http.StatusBadRequest
+	case Refused:
+		return http.StatusTooManyRequests
+	case Unavailable:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
+// SetRetryAfter tells the caller when to come back, in whole seconds.
+func (rep Reply) SetRetryAfter(header http.Header) {
+	if rep.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int((rep.RetryAfter+time.Second-1)/time.Second)))
+	}
+}
+
 // Reply is the answer to a call.
 type Reply struct {
 	Outcome    Outcome       `json:"outcome"`
--- a/internal/contract/jobhttp/jobhttp.go
+++ b/internal/contract/jobhttp/jobhttp.go
@@ -159,12 +159,6 @@
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-var statusOf = map[jobapi.Outcome]int{
-	jobapi.OK: http.StatusOK, jobapi.NoQueue: http.StatusNotFound, jobapi.NoJob: http.StatusGone,
-	jobapi.Invalid: http.StatusBadRequest, jobapi.Refused: http.StatusTooManyRequests,
-	jobapi.Unavailable: http.StatusServiceUnavailable, jobapi.Unknown: http.StatusGatewayTimeout,
-}
-
 type server struct {
 	handler jobapi.Handler
 	wall    weir.Clock
@@ -206,11 +200,8 @@
 }
 
 func write(ctx echo.Context, rep jobapi.Reply) error {
-	if rep.RetryAfter > 0 {
-		seconds := int((rep.RetryAfter + time.Second - 1) / time.Second)
-		ctx.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(seconds))
-	}
-	return ctx.JSON(statusOf[rep.Outcome], Answer{
+	rep.SetRetryAfter(ctx.Response().Header())
+	return ctx.JSON(rep.Outcome.Status(), Answer{
 		Outcome: rep.Outcome, Reason: rep.Reason, Phase: rep.Phase, Pending: rep.Pending, Done: rep.Done,
 	})
 }
