refactor: a wave's constants beside its code; a run's speed is not its pace

Cause: reading as a newcomer: 'pace' named both an order to filling tasks and a verdict on a run's progress, and a wave's limits stood in another file. Change: the verdict is a speed; constants moved. Behaviour is as before.

--- a/internal/job/owner/owner_test.go
+++ b/internal/job/owner/owner_test.go
@@ -26,17 +26,17 @@
 	cases := map[string]struct {
 		seen     []seen
 		estimate time.Duration
-		want     pace
+		want     speed
 	}{
-		"too early to tell":          {[]seen{{0, 0}, {500, 1}}, second, paceGood},
-		"as expected":                {[]seen{{0, 10}, {800, 85}}, second, paceGood},
-		"tasks differ":               {[]seen{{0, 0}, {800, 45}}, second, paceGood},
-		"crawls, but is nearly done": {[]seen{{0, 85}, {800, 95}}, second, paceSlow},
-		"crawls":                     {[]seen{{0, 0}, {800, 10}}, second, paceHopeless},
-		"stands still":               {[]seen{{0, 50}, {1500, 50}}, 4 * second, paceHopeless},
-		"nothing seen yet":           {[]seen{{0, 0}, {1000, 0}}, 3 * second, paceSlow},
-		"a step of hours":            {[]seen{{0, 1}, {5000, 1}}, 10_000 * second, paceSlow},
-		"no estimate":                {[]seen{{0, 0}, {9000, 0}}, 0, paceGood},
+		"too early to tell":          {[]seen{{0, 0}, {500, 1}}, second, speedGood},
+		"as expected":                {[]seen{{0, 10}, {800, 85}}, second, speedGood},
+		"tasks differ":               {[]seen{{0, 0}, {800, 45}}, second, speedGood},
+		"crawls, but is nearly done": {[]seen{{0, 85}, {800, 95}}, second, speedSlow},
+		"crawls":                     {[]seen{{0, 0}, {800, 10}}, second, speedHopeless},
+		"stands still":               {[]seen{{0, 50}, {1500, 50}}, 4 * second, speedHopeless},
+		"nothing seen yet":           {[]seen{{0, 0}, {1000, 0}}, 3 * second, speedSlow},
+		"a step of hours":            {[]seen{{0, 1}, {5000, 1}}, 10_000 * second, speedSlow},
+		"no estimate":                {[]seen{{0, 0}, {9000, 0}}, 0, speedGood},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/job/owner/progress.go
+++ b/internal/job/owner/progress.go
@@ -46,40 +46,40 @@
 	return pg
 }
 
-// verdict on a run's progress.
-type pace int
+// speed is the verdict on a run's progress.
+type speed int
 
 const (
-	paceGood pace = iota
-	// paceSlow runs may be left to end, but their worker is used last.
-	paceSlow
-	// paceHopeless runs would end sooner if they started anew elsewhere.
-	paceHopeless
+	speedGood speed = iota
+	// speedSlow runs may be left to end, but their worker is used last.
+	speedSlow
+	// speedHopeless runs would end sooner if they started anew elsewhere.
+	speedHopeless
 )
 
 // judge compares a run's progress with the estimate of a sound run.
-func (pg progress) judge(now time.Time, estimate time.Duration) pace {
+func (pg progress) judge(now time.Time, estimate time.Duration) speed {
 	watched := now.Sub(pg.since)
 	if estimate <= 0 || watched < slowAfter {
-		return paceGood
+		return speedGood
 	}
 	still := now.Sub(pg.changed)
 	if still > stallAfter && still.Seconds()/estimate.Seconds()*fullProgress > stallShare {
-		return paceHopeless
+		return speedHopeless
 	}
 	expected := watched.Seconds() / estimate.Seconds() * fullProgress
 	made := float64(pg.percent - pg.from)
 	if made >= slowShare*expected {
-		return paceGood
+		return speedGood
 	}
 	if made <= 0 {
-		return paceSlow
+		return speedSlow
 	}
 	rest := time.Duration(float64(fullProgress-pg.percent) / made * float64(watched))
 	if rest > 2*estimate {
-		return paceHopeless
+		return speedHopeless
 	}
-	return paceSlow
+	return speedSlow
 }
 
 // watch looks at the progress of what runs: runs that stand still or crawl are
@@ -110,13 +110,13 @@
 
 func (ow *Owner) judge(re *reign, id weir.InstanceID, key weir.RunKey, pg progress, step spec.Step, arrived time.Time) {
 	verdict := pg.judge(arrived, step.Estimate)
-	if verdict == paceGood || re.slow[key.Task] {
+	if verdict == speedGood || re.slow[key.Task] {
 		// A task that was slow elsewhere too is long by itself.
 		return
 	}
 	hl := re.healthOf(id)
 	hl.slowUntil = arrived.Add(slowFor)
-	if verdict == paceHopeless && !re.evicted[key] {
+	if verdict == speedHopeless && !re.evicted[key] {
 		re.avoid[key.Task] = id
 		re.slow[key.Task] = true
 		_ = ow.Logger.Log("level", "info", "msg", "run too slow", "job", key.Task.Job, "task", key.Task, "run", key.Run,
--- a/internal/job/owner/wave.go
+++ b/internal/job/owner/wave.go
@@ -11,6 +11,23 @@
 	weir "greengageweir"
 )
 
+const (
+	// drainPatience is how long a machine is kept free of new tasks before
+	// its maintenance, so that what runs there can end; most tasks take less.
+	drainPatience = 2500 * time.Millisecond
+	// wavePatience is the time that a wave's pace allows for each machine: its
+	// drain, its maintenance and as much again, twice.
+	wavePatience = 9 * time.Second
+	// tellEvery separates lines about maintenance that has to wait.
+	tellEvery = time.Second
+	// drainAhead is how many machines beyond those that may be away are kept
+	// free, so that the next can go at once.
+	drainAhead = 1
+	// lastingAhead is how many machines with lasting tasks of one pool are
+	// kept free at a time: one that goes and the next.
+	lastingAhead = 2
+)
+
 // candidate is a machine that waits for maintenance.
 type candidate struct {
 	machine string
