--- a/internal/job/owner/wave.go
+++ b/internal/job/owner/wave.go
@@ -16,7 +16,7 @@
 	// its maintenance, so that what runs there can end; most tasks take less.
 	drainPatience = 2500 * time.Millisecond
 	// wavePatience is the time that a wave's pace allows for each machine: its
-	// drain, its maintenance and as much again, twice.
+	// drain and its maintenance take half of it.
 	wavePatience = 9 * time.Second
 	// tellEvery separates lines about maintenance that has to wait.
 	tellEvery = time.Second
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -15,7 +15,7 @@
   [ -z "${ONLY:-}" ] || [ "$ONLY" = "$name" ] || return 0
   rm -rf "$SCRATCH/repo"
   mkdir -p "$SCRATCH/repo"
-  cp -r go.mod go.sum weir.go internal docs examples "$SCRATCH/repo/"
+  cp -r go.mod go.sum weir.go task.go internal platform docs examples "$SCRATCH/repo/"
   sed -i "$edit" "$SCRATCH/repo/$file"
   if cmp -s "$file" "$SCRATCH/repo/$file"; then
     echo "$name: the edit changes nothing"
@@ -39,11 +39,32 @@
 mutant vote-needs-up-to-date-log $R/elect.go 's/free \&\& co.role == Follower \&\& co.upToDate(msg)/free \&\& co.role == Follower/' ./$R
 mutant one-vote-a-term $R/elect.go 's/free := co.hard.Vote == "" || co.hard.Vote == msg.From/free := true/' ./$R
 mutant vote-is-synced $R/core.go 's/^\tco.hard.Vote = vote$/\tco.hard.Vote = vote\n\treturn/' ./$R
-mutant learner-does-not-vote $R/elect.go 's/grant := !co.hard.Learner \&\& free/grant := free/' ./$R
-mutant learner-is-not-counted $R/append.go 's/if pr.learner {$/if false {/' ./$R
+mutant learner-does-not-vote $R/elect.go 's/grant := co.mayVote(msg) \&\& free/grant := free/' ./$R
+mutant learner-is-not-counted $R/append.go 's/if !co.counts(id, pr) {$/if false {/' ./$R
 mutant check-quorum $R/core.go 's/if !co.quorumHeard(now) {/if false {/' ./$R
 mutant pre-vote $R/elect.go 's/!co.leaderAlive(now) \&\& co.upToDate(msg)$/true/' ./$R
 mutant late-snapshot-keeps-log $R/append.go 's/case co.log.term(snap.Index) == snap.Term:/case false:/' ./$R
+mutant members-one-at-a-time $R/members.go 's/ || setDifference(voters, co.voters()) != 1//' ./$R
+mutant members-settled-first $R/members.go 's/co.history\[len(co.history)-1\].index > co.commit || //' ./$R
+mutant leader-stays-voter $R/members.go 's/!self || setDifference/setDifference/; s/_, self := voters\[co.ID\]; /_ = 0; /' ./$R
+mutant spare-counts-with-its-disk $R/members.go 's/return voter \&\& (.*$/_ = disk; return voter \&\& !pr.learner/' ./$R
+mutant spare-votes-for-its-set $R/elect.go 's/ || (msg.Disk != "" \&\& msg.Disk == co.hard.Disk)//' ./$R
+J=internal/job
+mutant steps-in-order $J/store/store.go 's/case !js.StepReady(sa.Task.Occurrence, sa.Task.Step):/case false:/' ./$J/store
+mutant no-start-while-draining $J/store/store.go 's/case wk.Draining:/case false:/' ./$J/store
+mutant version-rises $J/store/store.go 's/if ct.Version <= st.Catalog.Version {/if false {/' ./$J/store
+mutant present-run-only $J/store/store.go 's/tk == nil || tk.Run != en.Run || /tk == nil || /' ./$J/store
+mutant one-operation-a-machine $J/store/workers.go 's/if st.Orders\[op.Machine\] != nil {/if false {/' ./$J/store
+mutant evicted-counts-as-away $J/owner/wave.go 's/re.evicted\[key\] || //' ./$J/owner
+mutant intent-counts-as-away $J/owner/wave.go 's/if at == nil || re.machines.intent\[at.worker.Machine\] {/if at == nil {/' ./$J/owner
+mutant slow-once $J/owner/progress.go 's/ || re.slow\[key.Task\]//' ./$J/owner
+SS=internal/task/session
+mutant silent-worker-gets-no-lease $SS/reports.go 's/if first || !ss.failingAt.IsZero() {/if first {/' ./$SS
+mutant overtaken-answers $SS/decide.go 's/case after(rn.listedAt), /case !rn.listedAt.IsZero(), /' ./$SS
+mutant report-before-verdict $SS/decide.go 's/if last.sentAt.IsZero() {/if false {/' ./$SS
+mutant ends-until-recorded $SS/session.go 's/ss.taken = ss.recorded$/_ = 0/' ./$SS
+mutant given-up-is-reset internal/link/httpconn/httpconn.go 's/_ = tcp.SetLinger(0)/_ = tcp/' ./internal/link/httpconn
+mutant least-work-first internal/schedule/plan/plan.go 's/cmp.Compare(one.Work, other.Work),//' ./internal/schedule/plan
 mutant torn-tail-is-cut internal/state/wal/wal.go 's/lg.file.Truncate(lg.size)/lg.file.Truncate(info.Size())/' ./internal/state/wal
 mutant damage-is-refused internal/state/wal/wal.go 's/if wholeRecordInside(rest) {/if false {/' ./internal/state/wal
 M=internal/fleet/machine
