refactor: what nothing reads is gone

Cause: reading the whole change: a setting of the owner, fields of settings and listings, three readers and a branch of the store that nothing used, or that said the same twice. Ruled out: fields of announcements that are only decoded (their decoding refuses what has another type). Change: they are removed; a start beside a run is refused for one reason, also where copies are allowed.

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -87,8 +87,6 @@
 	Free bool
 	// Work counts the runs that would be lost with it.
 	Work int
-	// Leaving says that it gets no new tasks already.
-	Leaving bool
 }
 
 // Move sends a machine to another pool.
--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -152,8 +152,6 @@
 type Listing struct {
 	Holders []string `json:"holders"`
 	Leader  string   `json:"leader,omitempty"`
-	// Started reports whether the process knows of a running cluster.
-	Started bool `json:"started,omitempty"`
 }
 
 // QueueOf splits a path into the queue's and the job's part.
--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -191,7 +191,7 @@
 		if at == nil || at.ss.Failing() || wk.Draining {
 			continue // it serves nobody now
 		}
-		mc := balance.Machine{Name: name, Pool: wk.Pool, Leaving: md.leaving[name]}
+		mc := balance.Machine{Name: name, Pool: wk.Pool}
 		ca := ow.candidate(re, rd, name, wk)
 		mc.Work = ca.work
 		mc.Free = ca.lasting == 0 && at.ss.Usable() && !md.engaged(rd, name) && ow.myTurn(re, rd, name, now)
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -82,8 +82,6 @@
 	HolderName string
 	// OrderPause is how long after an election no machine is ordered about.
 	OrderPause time.Duration
-	// StopTime is how long a stop takes at most.
-	StopTime time.Duration
 
 	wake chan struct{}
 
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -9,9 +9,6 @@
 	weir "greengageweir"
 )
 
-// Index is the last entry that the state holds.
-func (rd Reader) Index() uint64 { return rd.st.Index }
-
 // Catalog is the configuration in force.
 func (rd Reader) Catalog() catalog.Catalog { return rd.st.Catalog }
 
@@ -19,9 +16,6 @@
 // kept beyond the read.
 func (rd Reader) Job(id spec.ID) *JobState { return rd.st.Jobs[id] }
 
-// Jobs counts the known jobs.
-func (rd Reader) Jobs() int { return len(rd.st.Jobs) }
-
 // EachActive calls a function for each job that has tasks to run or runs that
 // may be at workers.
 func (rd Reader) EachActive(do func(js *JobState)) {
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -240,10 +240,9 @@
 		return refused("no such task")
 	case tk.Done || !follows(js.Spec.Steps[sa.Task.Step], tk.Run, sa.Run):
 		return refused("not the next run")
-	case tk.Placed() && !js.Spec.Steps[sa.Task.Step].Copies:
-		return refused("a run is not over")
 	case tk.Placed():
-		return refused("copies are not placed")
+		// Also where copies are allowed: they are not placed yet.
+		return refused("a run is not over")
 	case wk == nil || wk.Born != sa.Born:
 		return refused("worker is gone")
 	case wk.Draining:
--- a/internal/member/links/links.go
+++ b/internal/member/links/links.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 
 	"greengageweir/internal/contract/peerapi"
@@ -124,18 +123,6 @@
 	}
 }
 
-// IDs returns the known processes, sorted.
-func (ls *Links) IDs() []string {
-	ls.mu.RLock()
-	defer ls.mu.RUnlock()
-	ids := make([]string, 0, len(ls.members))
-	for id := range ls.members {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // Ready reports whether the link to a process is up.
 func (ls *Links) Ready(id string) bool {
 	mb := ls.member(id)
