fix: a bound of the settings may be a fraction

Cause: reading the whole change: the bounds are integers, fractions or booleans, and one of them was read as an integer only; a fraction there would have kept every control process from starting. Ruled out: the other bound that is read (it was a fraction's type already). Change: it is read as a fraction.

--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -52,7 +52,7 @@
 	ho := &holder{
 		PeerAddr: st.PeerAddress(), Zone: string(st.Zone), Token: peerToken, Seeds: st.SeedPeers(), DataDir: st.DataDir,
 		Voters: 2*st.Tolerance.Machines + 1, Retention: time.Duration(st.Bounds.RetentionS*float64(time.Second)) + retentionMargin,
-		Name: st.Name, Turn: time.Duration(st.Bounds.TurnMS)*time.Millisecond + turnMargin,
+		Name: st.Name, Turn: st.Turn() + turnMargin,
 		Workers: platform.NewWorkers(clock.Steady{}), Logger: lg,
 	}
 	if st.Cloud.Address != "" {
