fix: the end of each member of a gang counted as an end of its occurrence

Cause: a gang is done with the first end of a member; the ends of the others counted the job's occurrences down again, so that a job with several was shown as done while tasks were left (MIXED), and these never ran (LOST). Change: an end of a task that is done frees the run and counts for nothing; TestGangOfSeveralOccurrences fails without it.

--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -276,6 +276,8 @@
 	}
 	step := js.Spec.Steps[en.Task.Step]
 	switch {
+	case tk.Done:
+		// Another member's end stood for the whole gang.
 	case en.How == EndDone && !step.Lasting:
 		st.taskDone(at, js, en.Task, tk, step)
 	case en.How == EndFailed && !step.Lasting:
@@ -322,7 +324,7 @@
 			ss.Tasks[ix].Done = true
 		}
 		ss.Left = 0
-	} else if !tk.Done {
+	} else {
 		tk.Done = true
 		tk.Checkpoint = ""
 		ss.Left--
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -245,6 +245,23 @@
 	})
 }
 
+// TestGangOfSeveralOccurrences ends each member of the first occurrence's gang,
+// which must not count for the occurrences after it.
+func TestGangOfSeveralOccurrences(t *testing.T) {
+	fx := newFixture(t)
+	fx.taken(Change{Submit: &spec.Job{
+		ID: "a", Queue: "h/q/", Times: 3, StartAt: testNow, Every: time.Second, Steps: []spec.Step{{Count: 3, Gang: true}},
+	}})
+	for ix := range 3 {
+		fx.taken(start("a", 0, ix, 1, ix))
+	}
+	for ix := range 3 {
+		fx.taken(end("a", 0, ix, 1, EndDone))
+	}
+	require.Equal(t, Running, fx.phase("a"))
+	fx.sr.Read(func(rd Reader) { require.Equal(t, 2, rd.Job("a").RoundsLeft) })
+}
+
 // TestRandomChanges applies changes at random and checks after each that no
 // finished task is placed, that no task is at two workers, that the indexes
 // say what the tasks say, and that a snapshot holds all of it.
