fix: ends are recorded one batch at a time, so that the cursor passes over none

Cause: while the log was slow, ends that came later were committed beside earlier ones. Ruled out: ends acknowledged before their commit; overtaking answers. Change: a session hands out ends only when it knows what became of the last. TestEndsAreRecordedInOrder and TestVerdictIsHandedOutOnce fail without it.

--- a/internal/job/owner/ends.go
+++ b/internal/job/owner/ends.go
@@ -28,12 +28,12 @@
 	reply := func(_ []store.Answer, err error) {
 		if err != nil {
 			at.ss.NotRecorded()
+			ow.changed(at)
 			_ = ow.Logger.Log("level", "warn", "msg", "ends not recorded", "worker", id, "err", err)
 			return
 		}
-		if out.Number > 0 {
-			at.ss.Recorded(out.Number)
-		}
+		at.ss.Recorded(out.Number)
+		ow.changed(at)
 		ow.tellEnded(out.Ends)
 	}
 	if !ow.Committer.Submit(changes, reply) {
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -100,8 +100,10 @@
 	mu       sync.Mutex
 	runs     map[weir.RunKey]*run
 	ends     []weir.RunEnd // those that are not recorded, oldest first
-	taken    int64         // number of the last end handed out by Reconcile
 	recorded int64
+	// recording says that ends handed out by Reconcile are being committed.
+	// Others wait, so that the acknowledged number passes over none.
+	recording bool
 	wake     chan struct{}
 	orders   chan func(ctx context.Context)
 	last     report
@@ -164,9 +166,11 @@
 	return until
 }
 
-// Recorded tells that the ends up to a number are committed.
+// Recorded tells that the ends handed out by Reconcile are committed, those
+// that the worker listed up to a number.
 func (ss *Session) Recorded(number int64) {
 	ss.mu.Lock()
+	ss.recording = false
 	ss.recorded = max(ss.recorded, number)
 	for len(ss.ends) > 0 && ss.ends[0].Number <= number {
 		ss.ends = ss.ends[1:]
@@ -183,7 +187,7 @@
 func (ss *Session) NotRecorded() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.taken = ss.recorded
+	ss.recording = false
 }
 
 // Usable reports whether the worker answers and its clock is known.
@@ -245,7 +249,8 @@
 }
 
 // Reconcile compares what the state holds to be at the worker with what the
-// worker said. It returns ends to be committed and sends stops.
+// worker said. It returns ends to be committed and sends stops. It returns no
+// more ends until Recorded or NotRecorded has told what became of them.
 func (ss *Session) Reconcile(now time.Time, placed []Placed) Outcome {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
@@ -253,12 +258,11 @@
 	ended := make(map[weir.RunKey]bool, len(ss.ends))
 	for _, en := range ss.ends {
 		ended[en.RunKey] = true
-		if en.Number <= ss.taken {
+		if ss.recording {
 			continue
 		}
 		out.Ends = append(out.Ends, store.End{Task: en.Task, Run: en.Run, How: store.How(en.How), Checkpoint: en.Checkpoint})
 		out.Number = en.Number
-		ss.taken = en.Number
 	}
 	current := make(map[weir.RunKey]bool, len(placed))
 	for _, pl := range placed {
@@ -267,6 +271,7 @@
 			ss.reconcileRun(now, pl, &out)
 		}
 	}
+	ss.recording = ss.recording || len(out.Ends) > 0
 	ss.stopUnknown(now, current)
 	for key := range ss.runs {
 		if !current[key] {
@@ -285,7 +290,11 @@
 	}
 	rn.unwanted = !pl.Wanted
 	_, listed := ss.last.running[pl.Key]
-	switch decide(now, *rn, ss.last, listed, pl.Wanted) {
+	vd := decide(now, *rn, ss.last, listed, pl.Wanted)
+	if ss.recording && (vd == verdictRefused || vd == verdictLost) {
+		return
+	}
+	switch vd {
 	case verdictRefused:
 		out.Ends = append(out.Ends, store.End{Task: pl.Key.Task, Run: pl.Key.Run, How: store.EndRefused})
 		if out.Refused == nil {
--- a/internal/task/session/session_test.go
+++ b/internal/task/session/session_test.go
@@ -122,6 +122,44 @@
 	require.Empty(t, ss.Reconcile(fw.clk.Now(), nil).Ends)
 }
 
+// TestEndsAreRecordedInOrder plays a change of the log that fails while ends
+// that came later wait: recording these must not pass over the first.
+func TestEndsAreRecordedInOrder(t *testing.T) {
+	ss, fw := newSession(t)
+	key := func(ix int) weir.RunKey { return weir.RunKey{Task: weir.TaskRef{Job: "a", Index: ix}, Run: 1} }
+	end := func(ix int) weir.RunEnd {
+		return weir.RunEnd{RunKey: key(ix), Number: int64(ix), How: string(store.EndDone)}
+	}
+	placed := []Placed{{Key: key(1), Wanted: true}, {Key: key(2), Wanted: true}}
+	ss.takeReport(fw.clk.Now(), weir.WorkerReport{Ends: []weir.RunEnd{end(1)}})
+	first := ss.Reconcile(fw.clk.Now(), placed)
+	require.Len(t, first.Ends, 1)
+	ss.takeReport(fw.clk.Now(), weir.WorkerReport{Ends: []weir.RunEnd{end(1), end(2)}})
+	second := ss.Reconcile(fw.clk.Now(), placed)
+	ss.NotRecorded()
+	if len(second.Ends) > 0 {
+		ss.Recorded(second.Number)
+	}
+	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 2, "both are still to be recorded")
+}
+
+// TestVerdictIsHandedOutOnce keeps a slow log from being flooded.
+func TestVerdictIsHandedOutOnce(t *testing.T) {
+	ss, fw := newSession(t)
+	ss.renew(context.Background())
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	ss.Start(weir.RunOrder{RunKey: key})
+	ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
+	for len(ss.orders) > 0 {
+		(<-ss.orders)(context.Background())
+	}
+	placed := []Placed{{Key: key}}
+	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 1)
+	require.Empty(t, ss.Reconcile(fw.clk.Now(), placed).Ends, "it is being recorded")
+	ss.NotRecorded()
+	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 1)
+}
+
 func TestUnknownRunIsStopped(t *testing.T) {
 	ss, fw := newSession(t)
 	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
