fix: a start that is committed but not ordered yet is no unknown run

Cause: the round that the commit itself woke could look at the worker before the start was ordered, found a run there that nobody had ordered, and stopped it by its number; the start then came and was refused as old. Change: starts that are being committed are left alone; where a member of a gang is missing, the others are stopped at once.

--- a/internal/job/owner/ends.go
+++ b/internal/job/owner/ends.go
@@ -59,12 +59,19 @@
 
 // dropWorker ends a life whose lease has surely lapsed.
 func (ow *Owner) dropWorker(re *reign, at *attended, now time.Time) {
+	if at.dropping {
+		return
+	}
 	wk := at.worker
 	_ = ow.Logger.Log("level", "warn", "msg", "worker given up", "worker", wk.ID, "reason", "lease lapsed",
 		"announcedAgo", now.Sub(at.announced).String())
 	var changes []store.Change
 	ow.Store.Read(func(rd store.Reader) { changes = ow.leave(re, rd, wk, "lease lapsed") })
-	ow.Committer.Submit(changes, func([]store.Answer, error) {})
+	at.dropping = ow.Committer.Submit(changes, func([]store.Answer, error) {
+		ow.mu.Lock()
+		at.dropping = false
+		ow.mu.Unlock()
+	})
 }
 
 // leave returns the changes that end a worker's life. Runs that it listed with
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -94,8 +94,9 @@
 	term     uint64
 	since    time.Time
 	sessions map[weir.InstanceID]*attended
-	// planning says that starts are being committed.
+	// planning says that starts are being committed, which starting holds.
 	planning bool
+	starting map[weir.RunKey]bool
 	// maintained is when machines were looked at last.
 	maintained time.Time
 	health     map[weir.InstanceID]*health
@@ -120,6 +121,8 @@
 	worker store.Worker
 	cancel context.CancelFunc
 	dirty  bool
+	// dropping says that the end of this life is being committed.
+	dropping bool
 	// announced is when the worker was last heard of.
 	announced time.Time
 	sequence  int64
@@ -173,7 +176,7 @@
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	re := &reign{
-		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{},
+		term: term, since: ow.Clock.Now(), sessions: map[weir.InstanceID]*attended{}, starting: map[weir.RunKey]bool{},
 		health: map[weir.InstanceID]*health{}, avoid: map[weir.TaskRef]weir.InstanceID{},
 		pace: map[weir.InstanceID]*paced{}, machines: newMachineDuty(), evicted: map[weir.RunKey]bool{}, watched: map[weir.RunKey]progress{},
 		slow: map[weir.TaskRef]bool{}, advice: map[weir.TaskRef]*advised{},
@@ -328,8 +331,11 @@
 	var placed []session.Placed
 	ow.Store.Read(func(rd store.Reader) {
 		for key := range rd.Runs(id) {
+			if re.starting[key] {
+				continue // committed, but not ordered yet
+			}
 			js := rd.Job(key.Task.Job)
-			wanted := !js.Phase.Over() && !js.Task(key.Task).Done && !re.evicted[key]
+			wanted := !js.Phase.Over() && !js.Task(key.Task).Done && !re.evicted[key] && js.Whole(key)
 			placed = append(placed, session.Placed{Key: key, Wanted: wanted})
 		}
 	})
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -37,18 +37,27 @@
 		changes[ix] = store.Change{Start: &store.Start{Task: pl.Task, Run: pl.Run, Worker: pl.Worker, Born: pl.Born}}
 	}
 	re.planning = true
+	for _, pl := range starts {
+		re.starting[weir.RunKey{Task: pl.Task, Run: pl.Run}] = true
+	}
 	if !ow.Committer.Submit(changes, func(answers []store.Answer, err error) { ow.started(re, starts, answers, err) }) {
-		re.planning = false
+		re.planned()
 	}
 }
 
+// planned notes that no starts are being committed any more.
+func (re *reign) planned() {
+	re.planning = false
+	clear(re.starting)
+}
+
 // started orders the runs whose intents are committed. It runs on the
 // committer's goroutine.
 func (ow *Owner) started(re *reign, starts []plan.Placement, answers []store.Answer, err error) {
 	defer ow.Wake()
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	re.planning = false
+	defer re.planned()
 	if err != nil || ow.reign != re {
 		_ = ow.Logger.Log("level", "warn", "msg", "starts not committed", "count", len(starts), "err", err)
 		return
@@ -86,10 +95,11 @@
 	if at == nil || at.worker.Born != pl.Born || js == nil || js.Phase.Over() {
 		return
 	}
-	if js.Task(pl.Task) == nil {
+	key := weir.RunKey{Task: pl.Task, Run: pl.Run}
+	if js.Task(pl.Task) == nil || !js.Whole(key) {
 		return
 	}
-	order := weir.RunOrder{RunKey: weir.RunKey{Task: pl.Task, Run: pl.Run}, Text: js.Spec.Text, Checkpoint: js.Checkpoint(pl.Task)}
+	order := weir.RunOrder{RunKey: key, Text: js.Spec.Text, Checkpoint: js.Checkpoint(pl.Task)}
 	if ad := re.advice[pl.Task.StepRef()]; ad != nil {
 		order.Ticket = ad.tickets[pl.Worker]
 	}
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -95,6 +95,21 @@
 	return ""
 }
 
+// Whole reports whether a run may do useful work: a member of a gang does
+// nothing unless all others of its run are at workers too.
+func (js *JobState) Whole(key RunKey) bool {
+	if !js.Spec.Steps[key.Task.Step].Gang {
+		return true
+	}
+	tasks := js.Rounds[key.Task.Occurrence][key.Task.Step].Tasks
+	for ix := range tasks {
+		if !tasks[ix].Placed() || tasks[ix].Run != key.Run {
+			return false
+		}
+	}
+	return true
+}
+
 // StepReady reports whether all steps before a step are done.
 func (js *JobState) StepReady(occurrence, step int) bool {
 	for _, before := range js.Spec.Steps[step].After {
