--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -176,13 +176,8 @@
 
 func (ow *Owner) candidate(re *reign, rd store.Reader, machine string, wk store.Worker) candidate {
 	ca := candidate{machine: machine, worker: wk.ID, pool: wk.Pool, cordoned: re.machines.cordoned(machine)}
-	for key := range rd.Runs(wk.ID) {
-		if rd.Job(key.Task.Job).Spec.Steps[key.Task.Step].Lasting {
-			ca.lasting++
-		} else {
-			ca.work++
-		}
-	}
+	load := rd.Load(wk.ID)
+	ca.work, ca.lasting = load.Ending, load.Lasting
 	return ca
 }
 
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -39,7 +39,9 @@
 
 const (
 	// roundPause is the least time between two rounds of decisions, so that
-	// events that come together are decided together.
+	// events that come together are decided together. After a round that took
+	// longer the pause is as long as the round, which leaves half of the
+	// processor to orders and reports.
 	roundPause = 3 * time.Millisecond
 	// roundEvery is the longest time between two rounds.
 	roundEvery = 100 * time.Millisecond
@@ -93,6 +95,8 @@
 type reign struct {
 	term     uint64
 	since    time.Time
+	// attended is the state of the workers that the sessions follow.
+	attended uint64
 	sessions map[weir.InstanceID]*attended
 	// planning says that starts are being committed, which starting holds.
 	planning bool
@@ -190,8 +194,9 @@
 	for ctx.Err() == nil && ow.Lead.Term() == term {
 		begin := ow.Clock.Now()
 		ow.round(leadCtx, re, begin, all)
-		metrics.GetOrCreateHistogram("weir_job_round_seconds").Update(ow.Clock.Now().Sub(begin).Seconds())
-		time.Sleep(roundPause)
+		took := ow.Clock.Now().Sub(begin)
+		metrics.GetOrCreateHistogram("weir_job_round_seconds").Update(took.Seconds())
+		time.Sleep(min(max(took, roundPause), roundEvery))
 		select {
 		case <-ctx.Done():
 		case <-ow.wake:
@@ -276,10 +281,18 @@
 
 // attend starts and ends sessions as workers come and go.
 func (ow *Owner) attend(ctx context.Context, re *reign, now time.Time) {
-	present := make(map[weir.InstanceID]store.Worker, len(re.sessions))
+	var present map[weir.InstanceID]store.Worker
 	ow.Store.Read(func(rd store.Reader) {
+		if rd.WorkerChanges() == re.attended {
+			return
+		}
+		re.attended = rd.WorkerChanges()
+		present = make(map[weir.InstanceID]store.Worker, len(re.sessions))
 		rd.EachWorker(func(wk store.Worker) { present[wk.ID] = wk })
 	})
+	if present == nil {
+		return
+	}
 	for id, at := range re.sessions {
 		wk, ok := present[id]
 		if ok && wk.Born == at.worker.Born && wk.Address == at.worker.Address {
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -115,7 +115,7 @@
 	ct := rd.Catalog()
 	wall := ow.Wall.Now()
 	rd.EachActive(func(js *store.JobState) {
-		if js.Phase.Over() {
+		if js.Phase.Over() || !js.Unplaced() {
 			return
 		}
 		qu, ok := ct.ByKey(js.Spec.Queue)
@@ -227,16 +227,8 @@
 			continue
 		}
 		pw := plan.Worker{ID: id, Born: wk.Born, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Free: wk.Room, Suspect: hl.suspect(now)}
-		for key, need := range rd.Runs(id) {
-			pw.Free = pw.Free.Minus(need)
-			step := rd.Job(key.Task.Job).Spec.Steps[key.Task.Step]
-			switch {
-			case step.Filling:
-				pw.Filling++
-			case step.Lasting:
-				pw.Serving++
-			}
-		}
+		load := rd.Load(id)
+		pw.Free, pw.Serving, pw.Filling = wk.Room.Minus(load.Used), load.Serving, load.Filling
 		workers = append(workers, pw)
 	}
 	return workers
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -110,6 +110,23 @@
 	return true
 }
 
+// Unplaced reports whether a task of an occurrence may have to be placed.
+func (js *JobState) Unplaced() bool {
+	if js.RoundsLeft > 1 {
+		return true
+	}
+	left := 0
+	for _, round := range js.Rounds {
+		for sp := range round {
+			if js.Spec.Steps[sp].Gang {
+				return true // members that are placed may be done
+			}
+			left += round[sp].Left
+		}
+	}
+	return left > js.Placed
+}
+
 // StepReady reports whether all steps before a step are done.
 func (js *JobState) StepReady(occurrence, step int) bool {
 	for _, before := range js.Spec.Steps[step].After {
@@ -131,6 +148,38 @@
 	Active  map[spec.ID]bool                         `json:"-"`
 	ByQueue map[string]map[spec.ID]bool              `json:"-"`
 	Runs    map[weir.InstanceID]map[RunKey]spec.Need `json:"-"`
+	Loads   map[weir.InstanceID]WorkerLoad           `json:"-"`
+	// WorkerChanges counts the changes of workers that this member applied.
+	WorkerChanges uint64 `json:"-"`
+}
+
+// WorkerLoad sums up the runs that may be at a worker.
+type WorkerLoad struct {
+	// Used is the room that they take.
+	Used spec.Need
+	// Serving counts the lasting tasks that serve users, Filling those that use
+	// what others leave.
+	Serving, Filling int
+	// Lasting and Ending count all that last and all that end by themselves.
+	Lasting, Ending int
+}
+
+// with returns the load with count more runs of a step.
+func (wl WorkerLoad) with(step spec.Step, count int) WorkerLoad {
+	need := step.Counted()
+	wl.Used = wl.Used.Plus(spec.Need{MilliCPU: count * need.MilliCPU, MemoryMB: count * need.MemoryMB, GPU: count * need.GPU})
+	switch {
+	case step.Filling:
+		wl.Filling += count
+	case step.Lasting:
+		wl.Serving += count
+	}
+	if step.Lasting {
+		wl.Lasting += count
+	} else {
+		wl.Ending += count
+	}
+	return wl
 }
 
 // RunKey names one run of one task.
@@ -150,6 +199,7 @@
 	st.Active = map[spec.ID]bool{}
 	st.ByQueue = map[string]map[spec.ID]bool{}
 	st.Runs = map[weir.InstanceID]map[RunKey]spec.Need{}
+	st.Loads = map[weir.InstanceID]WorkerLoad{}
 	for id, js := range st.Jobs {
 		if js.Rounds != nil {
 			st.Active[id] = true
@@ -188,9 +238,12 @@
 		runs = map[RunKey]spec.Need{}
 		st.Runs[tk.Worker] = runs
 	}
-	runs[RunKey{Task: rf, Run: tk.Run}] = js.Spec.Steps[rf.Step].Counted()
+	step := js.Spec.Steps[rf.Step]
+	runs[RunKey{Task: rf, Run: tk.Run}] = step.Counted()
+	st.Loads[tk.Worker] = st.Loads[tk.Worker].with(step, 1)
 }
 
-func (st *state) dropRun(rf spec.Ref, tk *Task) {
+func (st *state) dropRun(js *JobState, rf spec.Ref, tk *Task) {
 	delete(st.Runs[tk.Worker], RunKey{Task: rf, Run: tk.Run})
+	st.Loads[tk.Worker] = st.Loads[tk.Worker].with(js.Spec.Steps[rf.Step], -1)
 }
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -124,6 +124,7 @@
 	st.Index = index
 	st.index()
 	sr.mu.Lock()
+	st.WorkerChanges = sr.st.WorkerChanges + 1
 	sr.st = st
 	if sr.Clock != nil {
 		sr.restoredAt = sr.Clock.Now()
@@ -311,7 +312,7 @@
 }
 
 func (st *state) free(at time.Time, js *JobState, rf spec.Ref, tk *Task) {
-	st.dropRun(rf, tk)
+	st.dropRun(js, rf, tk)
 	tk.Worker, tk.Born, tk.EndedAt = "", 0, at
 	js.Placed--
 }
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -332,6 +332,11 @@
 	}
 	for id, runs := range st.Runs {
 		require.Len(t, runs, placed[id])
+		load := WorkerLoad{}
+		for key := range runs {
+			load = load.with(st.Jobs[key.Task.Job].Spec.Steps[key.Task.Step], 1)
+		}
+		require.Equal(t, load, st.Loads[id])
 	}
 }
 
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -27,6 +27,7 @@
 	}
 	fresh := *wk
 	st.Workers[wk.ID] = &fresh
+	st.WorkerChanges++
 	return taken
 }
 
@@ -60,6 +61,8 @@
 	}
 	delete(st.Workers, wk.ID)
 	delete(st.Runs, wk.ID)
+	delete(st.Loads, wk.ID)
+	st.WorkerChanges++
 }
 
 func (st *state) applyWave(wv *Wave) Answer {
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,223 @@
+// Package fleet is a stand-in for a whole fleet of machines in one process: it
+// takes the orders for tasks and for machines as workers and their platform
+// would, and lets tasks take the time that the load says. It waits with the
+// time package alone, so that tests can play it in simulated time.
+//
+// Usage:
+//
+//	fl := &fleet.Fleet{Clock: clk, Length: ld.Length, Announce: announce, MoveTime: time.Second}
+//	fl.Add(fleet.Machine{Name: "m1", Pool: "desk", Rack: "r1", Room: room})
+//	own := &owner.Owner{Workers: fl, Machines: fl, ...}
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+
+	weir "greengageweir"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindSilent says that nobody answers at an address.
+const KindSilent Kind = "no answer"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// oneWay is how long a message takes in each direction.
+	oneWay = 500 * time.Microsecond
+	// startup is how long a lasting task takes until it is at work.
+	startup = 700 * time.Millisecond
+	// full is the percent of a task that is done, or at work.
+	full = 100
+)
+
+// Machine is one machine of the fleet.
+type Machine struct {
+	Name string
+	Pool weir.PoolName
+	Rack string
+	Room spec.Need
+}
+
+// Fleet is a set of machines. Set the exported fields before use.
+type Fleet struct {
+	Clock weir.Clock
+	// Length is how long a run of a task takes; false is a task that lasts.
+	Length func(task weir.TaskRef) (time.Duration, bool)
+	// Need is what a task takes of its worker.
+	Need func(task weir.TaskRef) spec.Need
+	// Began tells that a run has begun; it may be nil and must not block.
+	Began func(task weir.TaskRef, at time.Time)
+	// Announce tells of a worker that has come up.
+	Announce func(wk store.Worker)
+	// Standby names the pool whose machines are off.
+	Standby weir.PoolName
+	// MoveTime and MaintenanceTime are how long a machine is away.
+	MoveTime        time.Duration
+	MaintenanceTime time.Duration
+
+	mu       sync.Mutex
+	machines map[string]*machine
+	workers  map[weir.InstanceID]*worker
+	counted  Counts
+	sampled  time.Time
+}
+
+// Counts is what was seen of the fleet.
+type Counts struct {
+	// Started counts runs, Refused starts that found no room, Moves the
+	// machines that changed their pool.
+	Started, Refused, Moves int
+	// Lost counts runs that ended with their machine, and LostWork what they
+	// had done, in core-seconds.
+	Lost     int
+	LostWork float64
+	// PoolTime sums up how long machines were in pools that are not off, and
+	// Busy how much of that was worked, in core-seconds.
+	PoolTime time.Duration
+	Busy     float64
+}
+
+type machine struct {
+	Machine
+	state weir.MachineState
+	life  int
+	id    weir.InstanceID // of its worker, "" where none is up
+}
+
+// Add puts a machine into the fleet and brings its worker up.
+func (fl *Fleet) Add(mc Machine) {
+	fl.mu.Lock()
+	if fl.machines == nil {
+		fl.machines, fl.workers = map[string]*machine{}, map[weir.InstanceID]*worker{}
+		fl.sampled = fl.Clock.Now()
+	}
+	one := &machine{Machine: mc}
+	fl.machines[mc.Name] = one
+	fl.mu.Unlock()
+	fl.bringUp(one)
+}
+
+// bringUp starts a worker on a machine, unless its pool is off.
+func (fl *Fleet) bringUp(mc *machine) {
+	fl.mu.Lock()
+	fl.sample()
+	mc.state = weir.MachineUp
+	if mc.Pool == fl.Standby {
+		fl.mu.Unlock()
+		return
+	}
+	mc.life++
+	now := fl.Clock.Now()
+	mc.id = weir.InstanceID(fmt.Sprintf("%s-%d", mc.Name, mc.life))
+	fl.workers[mc.id] = &worker{
+		fleet: fl, machine: mc, origin: now, runs: map[weir.RunKey]*run{}, last: map[weir.TaskRef]int{}, ended: make(chan struct{}),
+	}
+	wk := store.Worker{
+		ID: mc.id, Born: now.UnixMilli(), Machine: mc.Name, Pool: mc.Pool, Address: string(mc.id), Rack: mc.Rack, Room: mc.Room,
+	}
+	fl.mu.Unlock()
+	fl.Announce(wk)
+}
+
+// takeDown ends a machine's worker and all that runs there. The lock is held.
+func (fl *Fleet) takeDown(mc *machine) {
+	wk := fl.workers[mc.id]
+	delete(fl.workers, mc.id)
+	mc.id = ""
+	if wk == nil {
+		return
+	}
+	for key, rn := range wk.runs {
+		rn.timer.Stop()
+		fl.counted.Lost++
+		fl.counted.LostWork += rn.worked(fl.Clock.Now()).Seconds() * cores(rn.need)
+		delete(wk.runs, key)
+	}
+	wk.gone = true
+	close(wk.ended)
+}
+
+func cores(nd spec.Need) float64 { return float64(nd.MilliCPU) / 1000 }
+
+// sample adds the time since the last change to the counts. The lock is held.
+func (fl *Fleet) sample() {
+	now := fl.Clock.Now()
+	span := now.Sub(fl.sampled)
+	fl.sampled = now
+	for _, mc := range fl.machines {
+		if mc.Pool != fl.Standby {
+			fl.counted.PoolTime += span
+		}
+	}
+	for _, wk := range fl.workers {
+		fl.counted.Busy += cores(wk.used) * span.Seconds()
+	}
+}
+
+// Counts returns what was seen so far.
+func (fl *Fleet) Counts() Counts {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.sample()
+	return fl.counted
+}
+
+// Crash ends a machine's worker without notice and brings another up later.
+func (fl *Fleet) Crash(name string, away time.Duration) {
+	fl.mu.Lock()
+	fl.sample()
+	mc := fl.machines[name]
+	fl.takeDown(mc)
+	mc.state = weir.MachineDown
+	fl.mu.Unlock()
+	time.AfterFunc(away, func() { fl.bringUp(mc) })
+}
+
+// Machines implements weir.MachinePlatform.
+func (fl *Fleet) Machines(context.Context) ([]weir.Machine, error) {
+	time.Sleep(2 * oneWay)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	var out []weir.Machine
+	for _, mc := range fl.machines {
+		out = append(out, weir.Machine{Name: mc.Name, Pool: mc.Pool, State: mc.state, Worker: mc.id})
+	}
+	return out, nil
+}
+
+// Order implements weir.MachinePlatform.
+func (fl *Fleet) Order(_ context.Context, order weir.MachineOrder) (weir.MachineAnswer, error) {
+	time.Sleep(2 * oneWay)
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	mc := fl.machines[order.Machine]
+	switch {
+	case mc == nil:
+		return weir.MachineRefused, nil
+	case order.Wave == 0 && mc.Pool == order.Pool:
+		return weir.MachineAccepted, nil
+	case mc.state != weir.MachineUp:
+		return weir.MachineBusy, nil
+	}
+	fl.sample()
+	fl.takeDown(mc)
+	away := fl.MaintenanceTime
+	mc.state = weir.MachineMaintenance
+	if order.Wave == 0 {
+		mc.Pool, mc.state, away = order.Pool, weir.MachineMoving, fl.MoveTime
+		fl.counted.Moves++
+	}
+	time.AfterFunc(away, func() { fl.bringUp(mc) })
+	return weir.MachineAccepted, nil
+}
--- /dev/null
+++ b/internal/standin/play/play.go
@@ -0,0 +1,283 @@
+// Package play runs the real owner of jobs against a stand-in fleet under a
+// load, and tells what callers got and what it cost. The log is one that
+// commits after the time of a sync; messages, moves and tasks take their time.
+// It waits with the time package alone: a command plays in real time, tests in
+// simulated time.
+//
+// Usage:
+//
+//	res := play.Player{Load: play.Small(), Seed: 1}.Run(ctx)
+//	play.Print(os.Stdout, []play.Result{res})
+package play
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengageweir/internal/contract/jobapi"
+	"greengageweir/internal/duty/clock"
+	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/job/owner"
+	"greengageweir/internal/job/service"
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/standin/fleet"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	weir "greengageweir"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// KindRefused says that a call of the load itself failed.
+const KindRefused Kind = "call failed"
+
+// Error is the error type of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// syncTime is how long the log takes for an entry: a sync here, the way to
+	// the others and back.
+	syncTime = 5 * time.Millisecond
+	// lead is how long workers are up before the load begins.
+	lead = 3 * time.Second
+	// finish is how long jobs may end after it.
+	finish = 14 * time.Second
+	// announceEvery is how often a worker announces itself until it is taken.
+	announceEvery = 100 * time.Millisecond
+	// settle is how long calls that are under way at the end take at most.
+	settle = 2 * time.Second
+	// lateShare times the objective is when a late answer is of no use.
+	lateShare = 3
+)
+
+// Policy is how capacity follows demand.
+type Policy string
+
+// The policies.
+const (
+	// PolicyOwner is the product's own.
+	PolicyOwner Policy = "owner"
+	// PolicyStatic moves no machine.
+	PolicyStatic Policy = "static"
+)
+
+// Player plays one load. Set the exported fields before Run.
+type Player struct {
+	Load   Load
+	Policy Policy
+	Seed   int64
+	Logger log.Logger
+}
+
+// alone is the leadership of a log with one member.
+type alone struct{}
+
+func (alone) Leads() bool      { return true }
+func (alone) Term() uint64     { return 1 }
+func (alone) LeaderID() string { return "" }
+
+// slowLog commits each entry after the time of a sync.
+type slowLog struct {
+	machine *store.Store
+	index   uint64
+}
+
+// Propose implements owner.Proposer; the committer calls it in turn.
+func (sl *slowLog) Propose(_ context.Context, data []byte) (any, error) {
+	time.Sleep(syncTime)
+	sl.index++
+	return sl.machine.Apply(sl.index, data), nil
+}
+
+// stage is one play.
+type stage struct {
+	Player
+	clock   clock.Wall
+	store   *store.Store
+	service *service.Service
+	fleet   *fleet.Fleet
+	jobs    []planned
+	lengths map[weir.JobID]planned
+	needs   map[weir.JobID][]spec.Step
+
+	mu    sync.Mutex
+	began map[weir.JobID]time.Time
+}
+
+// Run plays the load and returns what came of it.
+func (pl Player) Run(ctx context.Context) (Result, error) {
+	if pl.Logger == nil {
+		pl.Logger = log.NewNopLogger()
+	}
+	sg := &stage{Player: pl, store: store.New(), jobs: pl.Load.draw(pl.Seed), lengths: map[weir.JobID]planned{}, needs: map[weir.JobID][]spec.Step{}, began: map[weir.JobID]time.Time{}}
+	for _, pd := range sg.jobs {
+		sg.lengths[pd.job.ID], sg.needs[pd.job.ID] = pd, pd.job.Steps
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer func() {
+		cancel()
+		wg.Wait()
+		time.Sleep(settle)
+	}()
+	for _, stp := range sg.build() {
+		if err := stp.Default(); err != nil {
+			return Result{}, err
+		}
+		wg.Go(func() { _ = stp.Run(ctx) })
+	}
+	if err := sg.prepare(ctx); err != nil {
+		return Result{}, err
+	}
+	before := sg.fleet.Counts()
+	sg.perform(ctx)
+	res := sg.result(before, sg.fleet.Counts())
+	return res, nil
+}
+
+// build makes the parts of the program that lead, and the fleet.
+func (sg *stage) build() []weir.Step {
+	com := &owner.Committer{Log: &slowLog{machine: sg.store}, Wall: sg.clock}
+	sg.fleet = &fleet.Fleet{
+		Clock: sg.clock, Length: sg.length, Need: sg.need, Began: sg.note, Announce: sg.announce, Standby: standby,
+		MoveTime: sg.Load.MoveTime, MaintenanceTime: 2 * time.Second,
+	}
+	own := &owner.Owner{
+		Store: sg.store, Committer: com, Lead: alone{}, Workers: sg.fleet, Clock: sg.clock, Wall: sg.clock, Logger: sg.Logger,
+		Lease: 3 * time.Second, Retention: time.Minute, OrderPause: 3500 * time.Millisecond,
+	}
+	if sg.Policy != PolicyStatic {
+		own.Machines = sg.fleet
+	}
+	sg.store.Clock = sg.clock
+	sg.store.Applied = own.Wake
+	sg.service = &service.Service{
+		Store: sg.store, Committer: com, Owner: own, Lead: alone{}, Clock: sg.clock, Wall: sg.clock, Logger: sg.Logger,
+	}
+	return []weir.Step{com, own}
+}
+
+func (sg *stage) length(task weir.TaskRef) (time.Duration, bool) {
+	pd, ok := sg.lengths[task.Job]
+	if !ok {
+		return 0, false
+	}
+	return pd.lengths[task.Step][task.Index], true
+}
+
+func (sg *stage) need(task weir.TaskRef) spec.Need { return sg.needs[task.Job][task.Step].Counted() }
+
+// note keeps when a job began.
+func (sg *stage) note(task weir.TaskRef, at time.Time) {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	if _, ok := sg.began[task.Job]; !ok {
+		sg.began[task.Job] = at
+	}
+}
+
+// announce tells the owner of a worker until it is taken.
+func (sg *stage) announce(wk store.Worker) {
+	ann := &jobapi.Announcement{Worker: wk, Sequence: 1}
+	go func() {
+		for sg.service.Handle(context.Background(), jobapi.Call{Kind: jobapi.Announce, Worker: ann}).Outcome != jobapi.OK {
+			time.Sleep(announceEvery)
+		}
+	}()
+}
+
+// prepare brings configuration, machines and lasting jobs in.
+func (sg *stage) prepare(ctx context.Context) error {
+	for sg.call(ctx, jobapi.Call{Kind: jobapi.PutCatalog, Catalog: sg.Load.catalog()}) != nil {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(announceEvery)
+	}
+	room := spec.Need{MilliCPU: int(sg.Load.Room * 1000), MemoryMB: 1 << 20}
+	number := 0
+	add := func(pool weir.PoolName, count int) {
+		for range count {
+			sg.fleet.Add(fleet.Machine{Name: machineName(number), Pool: pool, Rack: rackName(number / sg.Load.Rack), Room: room})
+			number++
+		}
+	}
+	for _, po := range sg.Load.Pools {
+		add(po.Name, po.Machines)
+	}
+	add(standby, sg.Load.Standby)
+	for _, po := range sg.Load.Pools {
+		for _, jb := range po.lasting() {
+			sg.needs[jb.ID] = jb.Steps
+			if err := sg.call(ctx, submission(po.Name, jb)); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(lead)
+	return nil
+}
+
+func submission(pool weir.PoolName, jb *spec.Job) jobapi.Call {
+	return jobapi.Call{Kind: jobapi.Submit, Host: "play", Path: "/" + string(pool) + "/" + string(jb.ID), Job: jb}
+}
+
+func (sg *stage) call(ctx context.Context, call jobapi.Call) error {
+	if rep := sg.service.Handle(ctx, call); rep.Outcome != jobapi.OK {
+		return &Error{Op: string(call.Kind), Kind: KindRefused, Err: errors.New(rep.Reason)}
+	}
+	return nil
+}
+
+// perform submits the jobs at their times and waits for the last.
+func (sg *stage) perform(ctx context.Context) {
+	begin := sg.clock.Now()
+	var wg sync.WaitGroup
+	for _, wv := range sg.Load.Waves {
+		wg.Go(func() { sg.wave(ctx, wv) })
+	}
+	for ix, cr := range sg.Load.Crashes {
+		wg.Go(func() { sg.crash(ctx, ix, cr) })
+	}
+	for _, pd := range sg.jobs {
+		sleep(ctx, pd.at-sg.clock.Now().Sub(begin))
+		wg.Go(func() { _ = sg.call(ctx, submission(pd.pool.Name, pd.job)) })
+	}
+	sleep(ctx, sg.Load.Duration+finish-sg.clock.Now().Sub(begin))
+	wg.Wait()
+}
+
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// wave asks for maintenance of each machine that a share picks.
+func (sg *stage) wave(ctx context.Context, wv Wave) {
+	sleep(ctx, wv.At)
+	order := &store.Wave{Number: 1, AtOnce: wv.AtOnce, Deadline: sg.clock.Now().Add(wv.Within)}
+	for number := range sg.Load.machines() {
+		if picked(number, wv.Share) {
+			order.Machines = append(order.Machines, machineName(number))
+		}
+	}
+	_ = sg.call(ctx, jobapi.Call{Kind: jobapi.StartWave, Wave: order})
+}
+
+func (sg *stage) crash(ctx context.Context, ix int, cr Crash) {
+	sleep(ctx, cr.At)
+	for number := range sg.Load.machines() {
+		if picked(number+ix+1, cr.Share) {
+			sg.fleet.Crash(machineName(number), cr.Away)
+		}
+	}
+}
