feat: followers answer announcements that change nothing; a lazy log

Cause: each commit cost the leader of eight members 21 messages (appends, replies, word of the commit), and each worker's announcement a request. Change: where only the leader answers from the state, followers learn of commits with the next entries or heartbeat, and spares get the log with heartbeats. A follower that hears its leader answers announcements that it has committed already, and takes the worker's next ones. Announcements keep their sequence in the log, so that word from before a drain is known as such also by a later leader. Ruled out: a follower that is cut off passes announcements on, as before.

--- a/cmd/greengageweir/holder.go
+++ b/cmd/greengageweir/holder.go
@@ -70,7 +70,7 @@
 	str.Clock = steady
 	ho.node = &node.Node{
 		ID: self.ID, Dir: ho.DataDir, Machine: str, Send: lks.Send, Clock: steady, Logger: lg,
-		Heartbeat: logHeartbeat, Election: logElection, SnapshotEvery: snapshotEvery,
+		Heartbeat: logHeartbeat, Election: logElection, SnapshotEvery: snapshotEvery, Lazy: true,
 	}
 	ho.roster = &roster.Roster{
 		Self: self.ID, Holder: true, Seeds: ho.Seeds, Links: lks, Log: ho.node, Voters: ho.Voters, Logger: lg,
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -39,7 +39,7 @@
 	ho := platformHolder(&st, lg)
 	ho.build()
 	ctl := &platform.Control{
-		Handler: ho.service, Wall: clock.Wall{}, Logger: lg, Leader: func() string { return st.ControlAddress(ho.node.LeaderID()) },
+		Handler: ho.service, Wall: clock.Wall{}, Logger: lg, Address: st.ControlAddress,
 	}
 	ho.steps = append(ho.steps, pc.watch(lg, ho.roster), metricsStep(&st, ho.state),
 		&ops.Listener{Name: "control listener", Addr: st.Bind.Control, Handler: ctl.Routes(), Patience: controlPatience})
--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -66,8 +66,6 @@
 // Announcement is a worker's word about itself.
 type Announcement struct {
 	store.Worker
-	// Sequence rises with each announcement of a life.
-	Sequence int64 `json:"seq"`
 	// Clock is the worker's steady clock.
 	Clock time.Duration `json:"clock"`
 	// DrainLeft is the least time that is left to a draining worker.
@@ -134,6 +132,9 @@
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 	// Leader is the process that answered, where it leads.
 	Leader string `json:"leader,omitempty"`
+	// AnnounceTo is the process to which a worker should announce itself from
+	// now on; empty is any.
+	AnnounceTo string `json:"announceTo,omitempty"`
 }
 
 // Handler answers calls.
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -45,6 +45,9 @@
 	roundPause = 3 * time.Millisecond
 	// roundEvery is the longest time between two rounds.
 	roundEvery = 100 * time.Millisecond
+	// reconcileEvery is how often a worker without news is looked at, for orders
+	// that have to be repeated: the shortest of their time-outs is 500 ms.
+	reconcileEvery = 300 * time.Millisecond
 	// followerPoll is how often a process looks whether it leads.
 	followerPoll = 30 * time.Millisecond
 	// leadSlack is how long after an election an earlier leader may still
@@ -124,7 +127,10 @@
 	ss     *session.Session
 	worker store.Worker
 	cancel context.CancelFunc
-	dirty  bool
+	// dirty says that there is news of the worker, reconciled is when it was
+	// looked at last.
+	dirty      bool
+	reconciled time.Time
 	// dropping says that the end of this life is being committed.
 	dropping bool
 	// announced is when the worker was last heard of.
@@ -253,15 +259,15 @@
 	ow.Wake()
 }
 
-// round takes all decisions that can be taken now. With all set it looks at
-// each worker, otherwise only at those with news.
+// round takes all decisions that can be taken now. With all set it looks also
+// at what changes without news.
 func (ow *Owner) round(ctx context.Context, re *reign, now time.Time, all bool) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
 	ow.attend(ctx, re, now)
 	for id, at := range re.sessions {
-		if all || at.dirty {
-			at.dirty = false
+		if at.dirty || (all && (at.ss.Failing() || now.Sub(at.reconciled) >= reconcileEvery)) {
+			at.dirty, at.reconciled = false, now
 			ow.reconcile(re, id, at, now)
 		}
 	}
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -77,6 +77,37 @@
 }
 
 func (sv *Service) handle(ctx context.Context, call jobapi.Call) jobapi.Reply {
+	if call.Kind == jobapi.Announce && call.Hops == 0 && sv.follows() {
+		// The leader has enough to do; a follower knows what it has committed.
+		if sv.known(*call.Worker) {
+			return jobapi.Reply{Outcome: jobapi.OK, AnnounceTo: sv.Self}
+		}
+	}
+	rep := sv.place(ctx, call)
+	if call.Kind == jobapi.Announce && rep.Outcome == jobapi.OK && sv.follows() {
+		rep.AnnounceTo = sv.Self
+	}
+	return rep
+}
+
+// follows reports whether this process follows a leader that it hears.
+func (sv *Service) follows() bool {
+	leader := sv.Lead.LeaderID()
+	return leader != "" && leader != sv.Self
+}
+
+// known reports whether a worker's word about itself is nothing new.
+func (sv *Service) known(ann jobapi.Announcement) bool {
+	known := false
+	sv.Store.Read(func(rd store.Reader) {
+		wk, ok := rd.Worker(ann.ID)
+		known = ok && wk.Same(ann.Worker)
+	})
+	return known
+}
+
+// place answers a call as the leader, or passes it on to the one that leads.
+func (sv *Service) place(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	until := sv.Clock.Now().Add(leaderWait)
 	for {
 		if sv.Owner.Ready() {
@@ -298,12 +329,7 @@
 	if !sv.Owner.Heard(*ann, sv.Clock.Now()) {
 		return jobapi.Reply{Outcome: jobapi.OK, Reason: "out of date"}
 	}
-	known := false
-	sv.Store.Read(func(rd store.Reader) {
-		wk, ok := rd.Worker(ann.ID)
-		known = ok && wk == ann.Worker
-	})
-	if known {
+	if sv.known(*ann) {
 		return jobapi.Reply{Outcome: jobapi.OK}
 	}
 	wk := ann.Worker
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -46,6 +46,15 @@
 	Room    spec.Need     `json:"room"`
 	// Draining workers get no new tasks.
 	Draining bool `json:"draining,omitempty"`
+	// Sequence rises with each announcement of a life, so that word that was
+	// held up on its way is known as such.
+	Sequence int64 `json:"seq,omitempty"`
+}
+
+// Same reports whether two announcements say the same of a worker.
+func (wk Worker) Same(other Worker) bool {
+	wk.Sequence = other.Sequence
+	return wk == other
 }
 
 // Leave ends one life of a worker: nothing runs there any more.
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -185,6 +185,10 @@
 	draining.Draining = true
 	fx.taken(Change{Join: draining})
 	fx.refused(Change{Start: &Start{Task: spec.Ref{Job: "a", Index: 2}, Run: 2, Worker: "w1", Born: 5}}, "worker drains")
+	// Word from before the drain comes late, perhaps to a later leader.
+	draining.Sequence = 7
+	fx.taken(Change{Join: draining})
+	fx.refused(Change{Join: testWorker(1, 5)}, "earlier word of this life")
 }
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -12,6 +12,9 @@
 	if old != nil && old.Born > wk.Born {
 		return refused("an earlier life")
 	}
+	if old != nil && old.Born == wk.Born && old.Sequence > wk.Sequence {
+		return refused("earlier word of this life")
+	}
 	for id, other := range st.Workers {
 		same := other.Address == wk.Address || (wk.Machine != "" && other.Machine == wk.Machine)
 		if id == wk.ID || !same {
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -115,9 +115,15 @@
 }
 
 func place(gr Group, workers []*Worker) []Placement {
-	before := make([]Worker, len(workers))
-	for ix, wk := range workers {
-		before[ix] = *wk
+	if !slices.ContainsFunc(workers, func(wk *Worker) bool { return wk.accepts(gr, gr.On) }) {
+		return nil
+	}
+	var before []Worker
+	if gr.Spec.Gang {
+		before = make([]Worker, len(workers))
+		for ix, wk := range workers {
+			before[ix] = *wk
+		}
 	}
 	on := make(map[weir.InstanceID]int, len(gr.On))
 	for id, count := range gr.On {
@@ -222,18 +228,27 @@
 
 // better reports whether one worker is a better place than another.
 func better(gr Group, tk Task, on map[weir.InstanceID]int, rack string, one, other *Worker) bool {
-	order := cmp.Or(
-		compareBool(one.Suspect || one.ID == tk.Avoid, other.Suspect || other.ID == tk.Avoid),
-		compareBool(rack != "" && one.Rack != rack, rack != "" && other.Rack != rack),
-		gr.together(on, one, other),
-		gr.disturbance(one, other),
-		// Machines with lasting tasks cannot be spared anyway; tasks gather
-		// there and then on the fullest machine, so that others can go.
-		compareBool(!one.keeps(), !other.keeps()),
-		cmp.Compare(one.Free.MilliCPU, other.Free.MilliCPU),
-		cmp.Compare(one.ID, other.ID),
-	)
-	return order < 0
+	if order := compareBool(one.Suspect || one.ID == tk.Avoid, other.Suspect || other.ID == tk.Avoid); order != 0 {
+		return order < 0
+	}
+	if order := compareBool(one.Rack != rack, other.Rack != rack); rack != "" && order != 0 {
+		return order < 0
+	}
+	if order := gr.together(on, one, other); order != 0 {
+		return order < 0
+	}
+	if order := gr.disturbance(one, other); order != 0 {
+		return order < 0
+	}
+	// Machines with lasting tasks cannot be spared anyway; tasks gather there
+	// and then on the fullest machine, so that others can go.
+	if order := compareBool(!one.keeps(), !other.keeps()); order != 0 {
+		return order < 0
+	}
+	if one.Free.MilliCPU != other.Free.MilliCPU {
+		return one.Free.MilliCPU < other.Free.MilliCPU
+	}
+	return one.ID < other.ID
 }
 
 // together keeps lasting tasks of one step apart, since a worker's maintenance
--- a/internal/state/replica/append.go
+++ b/internal/state/replica/append.go
@@ -15,6 +15,9 @@
 func (co *Core) broadcastNew() {
 	for _, id := range co.followers() {
 		pr := co.progress[id]
+		if co.Lazy && !co.isMember(id) {
+			continue
+		}
 		if pr.next <= co.log.last() && pr.next > co.log.snapIndex && pr.match+1 >= pr.next-min(pr.next-1, maxBatchEntries) {
 			co.sendAppend(time.Time{}, id, false)
 		}
@@ -199,6 +202,9 @@
 		return
 	}
 	co.commit = index
+	if co.Lazy {
+		return
+	}
 	// Followers learn of the commit at once, not with the next heartbeat.
 	for _, id := range co.followers() {
 		co.sendAppend(now, id, true)
--- a/internal/state/replica/members.go
+++ b/internal/state/replica/members.go
@@ -119,10 +119,10 @@
 	co.progress[id] = &progress{next: co.log.last() + 1, heard: now, learner: true}
 }
 
-// SpareReady returns the disk of a spare that holds all committed entries.
+// SpareReady returns the disk of a spare that one append brings up to date.
 func (co *Core) SpareReady(id string) (disk string, ready bool) {
 	pr := co.progress[id]
-	if pr == nil || co.isMember(id) || pr.disk == "" || pr.match < co.commit {
+	if pr == nil || co.isMember(id) || pr.disk == "" || pr.match+maxBatchEntries < co.commit {
 		return "", false
 	}
 	return pr.disk, true
