--- a/internal/contract/taskapi/taskapi.go
+++ b/internal/contract/taskapi/taskapi.go
@@ -13,7 +13,6 @@
 package taskapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -72,13 +71,10 @@
 	if err != nil {
 		return &Error{Op: path, Kind: KindFormat, Err: err}
 	}
-	addr := body.Life.Address
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(data))
-	if err != nil {
-		return &Error{Op: path, Kind: KindFormat, Err: err}
-	}
-	req.Header.Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
-	resp, err := cl.Get(addr).Do(ctx, req, true)
+	resp, err := cl.Get(body.Life.Address).Do(ctx, httpconn.Request{
+		Method: http.MethodPost, Path: path, Body: data, Repeatable: true,
+		Fields: []httpconn.Field{{Name: echo.HeaderContentType, Value: echo.MIMEApplicationJSON}},
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/entry/dispatch/send.go
+++ b/internal/entry/dispatch/send.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -21,45 +20,40 @@
 func (dp *Dispatcher) send(ctx context.Context, slot *place.Slot, req weir.Request) (weir.Answer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(dp.Clock.Now())+patience(req))
 	defer cancel()
-	httpReq, err := dp.endpointRequest(ctx, slot, req)
-	if err != nil {
-		slot.Release(place.Abandoned)
-		return weir.AnswerNotRun("bad request: " + err.Error()), false
-	}
 	begin := dp.Clock.Now()
-	resp, err := slot.Conns.Do(ctx, httpReq, req.Repeatable)
+	resp, err := slot.Conns.Do(ctx, dp.endpointRequest(slot, req))
 	observe("weir_endpoint_seconds", dp.Clock.Now().Sub(begin))
 	if err != nil {
 		return brokenAnswer(slot, err)
 	}
-	if reason := resp.Header.Get(endpoint.HeaderRefused); reason != "" {
+	if reason := resp.Field(endpoint.HeaderRefused); reason != "" {
 		slot.Release(place.Abandoned)
 		return weir.AnswerNotRun("endpoint refused: " + reason), true
 	}
 	slot.Release(resultOf(resp.Status))
 	return weir.Answer{
-		Kind: weir.Whole, Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body,
+		Kind: weir.Whole, Status: resp.Status, ContentType: resp.Field("Content-Type"), Body: resp.Body,
 	}, false
 }
 
-func (dp *Dispatcher) endpointRequest(ctx context.Context, slot *place.Slot, req weir.Request) (*http.Request, error) {
-	httpReq, err := http.NewRequestWithContext(ctx, req.Method, "http://"+string(slot.Instance)+req.Path, bytes.NewReader(req.Body))
-	if err != nil {
-		return nil, err
+func (dp *Dispatcher) endpointRequest(slot *place.Slot, req weir.Request) httpconn.Request {
+	out := httpconn.Request{
+		Method: req.Method, Host: string(slot.Instance), Path: req.Path, Body: req.Body, Repeatable: req.Repeatable,
+		Fields: []httpconn.Field{
+			{Name: endpoint.HeaderLease, Value: slot.Lease.String()},
+			{Name: endpoint.HeaderEntry, Value: dp.Self},
+			{Name: endpoint.HeaderTask, Value: uuid.NewString()},
+			{Name: endpoint.HeaderService, Value: string(req.Service)},
+			{Name: endpoint.HeaderTeam, Value: string(req.Team)},
+		},
 	}
-	head := httpReq.Header
-	head.Set(endpoint.HeaderLease, slot.Lease.String())
-	head.Set(endpoint.HeaderEntry, dp.Self)
-	head.Set(endpoint.HeaderTask, uuid.NewString())
-	head.Set(endpoint.HeaderService, string(req.Service))
-	head.Set(endpoint.HeaderTeam, string(req.Team))
 	if req.Key != "" {
-		head.Set(endpoint.HeaderKey, req.Key)
+		out.Fields = append(out.Fields, httpconn.Field{Name: endpoint.HeaderKey, Value: req.Key})
 	}
 	if req.ContentType != "" {
-		head.Set("Content-Type", req.ContentType)
+		out.Fields = append(out.Fields, httpconn.Field{Name: "Content-Type", Value: req.ContentType})
 	}
-	return httpReq, nil
+	return out
 }
 
 // brokenAnswer tells what an error on the way means. A deadline counts
--- a/internal/job/owner/owner.go
+++ b/internal/job/owner/owner.go
@@ -96,8 +96,8 @@
 
 // reign is what a leader knows besides the replicated state.
 type reign struct {
-	term     uint64
-	since    time.Time
+	term  uint64
+	since time.Time
 	// attended is the state of the workers that the sessions follow.
 	attended uint64
 	sessions map[weir.InstanceID]*attended
--- a/internal/link/httpconn/httpconn.go
+++ b/internal/link/httpconn/httpconn.go
@@ -6,7 +6,7 @@
 // Usage:
 //
 //	pl := httpconn.NewPool("127.0.0.1:9000", 64, clk)
-//	resp, err := pl.Do(ctx, req, false)
+//	resp, err := pl.Do(ctx, httpconn.Request{Method: "POST", Path: "/work", Body: body})
 //	fault.Is(err, httpconn.KindNotSent) // the endpoint certainly got nothing
 package httpconn
 
@@ -22,6 +22,7 @@
 	"greengageweir/internal/duty/fault"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	weir "greengageweir"
 )
@@ -53,13 +54,34 @@
 	bufferBytes = 8 << 10
 )
 
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Request is what is sent to an endpoint.
+type Request struct {
+	Method string
+	// Host names the endpoint; empty stands for the pool's address.
+	Host string
+	// Path may have a query; it is sent as it is.
+	Path   string
+	Fields []Field
+	Body   []byte
+	// Repeatable requests may be put on a connection that has not proven
+	// itself lately.
+	Repeatable bool
+}
+
 // Response is a whole answer of an endpoint.
 type Response struct {
 	Status int
-	Header http.Header
 	Body   []byte
+
+	raw *fasthttp.Response
 }
 
+// Field returns the value of a header field, "" where there is none.
+func (rs *Response) Field(name string) string { return string(rs.raw.Header.Peek(name)) }
+
 // Pool holds the connections to one endpoint.
 type Pool struct {
 	addr  string
@@ -110,14 +132,14 @@
 }
 
 // Do sends the request and reads the whole answer.
-func (pl *Pool) Do(ctx context.Context, req *http.Request, repeatable bool) (*Response, error) {
+func (pl *Pool) Do(ctx context.Context, req Request) (*Response, error) {
 	select {
 	case pl.limit <- struct{}{}:
 	default:
 		return nil, &Error{Op: "connect " + pl.addr, Kind: KindNotSent, Err: errors.New("all connections in use")}
 	}
 	defer func() { <-pl.limit }()
-	cn, err := pl.take(ctx, repeatable)
+	cn, err := pl.take(ctx, req.Repeatable)
 	if err != nil {
 		return nil, &Error{Op: "connect " + pl.addr, Kind: KindNotSent, Err: err}
 	}
@@ -170,38 +192,70 @@
 
 // exchange writes the request and reads the answer. The connection is closed
 // when the context ends, which frees a call on a silent connection.
-func (pl *Pool) exchange(ctx context.Context, cn *conn, req *http.Request) (*Response, bool, error) {
+func (pl *Pool) exchange(ctx context.Context, cn *conn, req Request) (*Response, bool, error) {
 	stop := context.AfterFunc(ctx, func() { reset(cn.Conn) })
 	defer stop()
 	cn.sent.count = 0
-	err := req.Write(cn.wr)
-	if err == nil {
-		err = cn.wr.Flush()
-	}
-	if err != nil {
+	if err := pl.write(cn, req); err != nil {
 		return nil, false, &Error{Op: "send to " + pl.addr, Kind: sendKind(cn.sent.count), Err: err}
 	}
-	raw, err := http.ReadResponse(cn.rd, req)
-	if err != nil {
+	raw := &fasthttp.Response{SkipBody: req.Method == http.MethodHead}
+	if err := readHeader(cn, raw); err != nil {
 		return nil, false, &Error{Op: "read from " + pl.addr, Kind: KindBroken, Err: err}
 	}
-	defer func() { _ = raw.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(raw.Body, MaxBodyBytes+1))
-	if err != nil {
-		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindBroken, Err: err}
-	}
-	if len(body) > MaxBodyBytes {
-		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindTooLarge}
-	}
 	// An answer without a length ends with the connection, so that a cut one
 	// cannot be told from a whole one.
-	if raw.ContentLength < 0 && len(raw.TransferEncoding) == 0 && bodyAllowed(raw.StatusCode) {
+	if raw.Header.ContentLength() == noLength && bodyAllowed(raw.StatusCode()) && !raw.SkipBody {
 		return nil, false, &Error{Op: "read body from " + pl.addr, Kind: KindBroken, Err: errors.New("answer without a length")}
 	}
-	if !stop() {
-		return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body}, false, nil
+	if !raw.SkipBody && bodyAllowed(raw.StatusCode()) {
+		if err := raw.ReadBody(cn.rd, MaxBodyBytes); err != nil {
+			kind := KindBroken
+			if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+				kind = KindTooLarge
+			}
+			return nil, false, &Error{Op: "read body from " + pl.addr, Kind: kind, Err: err}
+		}
+	}
+	resp := &Response{Status: raw.StatusCode(), Body: raw.Body(), raw: raw}
+	return resp, stop() && !raw.ConnectionClose(), nil
+}
+
+// noLength is what the library says of an answer that ends with the
+// connection.
+const noLength = -2
+
+func (pl *Pool) write(cn *conn, req Request) error {
+	raw := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(raw)
+	raw.Header.SetMethod(req.Method)
+	raw.Header.SetRequestURI(req.Path)
+	raw.Header.SetHost(req.Host)
+	if req.Host == "" {
+		raw.Header.SetHost(pl.addr)
+	}
+	raw.Header.SetNoDefaultContentType(true)
+	for _, fd := range req.Fields {
+		raw.Header.Set(fd.Name, fd.Value)
+	}
+	raw.SetBodyRaw(req.Body)
+	if err := raw.Write(cn.wr); err != nil {
+		return err
+	}
+	return cn.wr.Flush()
+}
+
+// readHeader reads the header of the answer proper, past those that only
+// announce it.
+func readHeader(cn *conn, raw *fasthttp.Response) error {
+	for {
+		if err := raw.Header.Read(cn.rd); err != nil {
+			return err
+		}
+		if code := raw.StatusCode(); code >= http.StatusOK || code == http.StatusSwitchingProtocols {
+			return nil
+		}
 	}
-	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body}, !raw.Close, nil
 }
 
 // reset closes a connection so that what the network still holds of it is
--- a/internal/link/httpconn/httpconn_test.go
+++ b/internal/link/httpconn/httpconn_test.go
@@ -58,11 +58,8 @@
 	}
 }
 
-func post(t *testing.T) *http.Request {
-	req, err := http.NewRequest(http.MethodPost, "http://endpoint/work", strings.NewReader("body"))
-	require.NoError(t, err)
-	return req
-}
+// booking is a request that must not be repeated.
+var booking = Request{Method: http.MethodPost, Host: "endpoint", Path: "/work", Body: []byte("body")}
 
 // TestFailurePoints is the table of places where an exchange can break and
 // what may truthfully be said of each.
@@ -82,6 +79,7 @@
 		{"closed in the body", after(head + "Content-Length: 9\r\n\r\nhalf"), KindBroken},
 		{"closed in a chunk", after(head + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"), KindBroken},
 		{"closed before the last chunk", after(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), KindBroken},
+		{"announced, then whole", after("HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok"), ""},
 		{"no length", after(head + "\r\nmaybe whole"), KindBroken},
 		{"not HTTP", after("hello\r\n\r\n"), KindBroken},
 		{"too large", after(head + "Content-Length: 5000000\r\n\r\n" + strings.Repeat("x", MaxBodyBytes+2)), KindTooLarge},
@@ -92,7 +90,7 @@
 			addr, _ := scripted(t, tc.serve)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			resp, err := NewPool(addr, 1, clock.System{}).Do(ctx, post(t), false)
+			resp, err := NewPool(addr, 1, clock.System{}).Do(ctx, booking)
 			if tc.kind == "" {
 				require.NoError(t, err)
 				require.Equal(t, "ok", string(resp.Body))
@@ -108,12 +106,12 @@
 	require.NoError(t, err)
 	addr := lis.Addr().String()
 	require.NoError(t, lis.Close())
-	_, err = NewPool(addr, 1, clock.System{}).Do(context.Background(), post(t), false)
+	_, err = NewPool(addr, 1, clock.System{}).Do(context.Background(), booking)
 	require.True(t, fault.Is(err, KindNotSent), "nobody listens")
 
 	pl := NewPool(addr, 1, clock.System{})
 	pl.limit <- struct{}{}
-	_, err = pl.Do(context.Background(), post(t), false)
+	_, err = pl.Do(context.Background(), booking)
 	require.True(t, fault.Is(err, KindNotSent), "all connections in use")
 }
 
@@ -128,17 +126,19 @@
 		_, _ = io.Copy(io.Discard, rd)
 	})
 	pl := NewPool(addr, 4, clk)
-	_, err := pl.Do(context.Background(), post(t), false)
+	_, err := pl.Do(context.Background(), booking)
 	require.NoError(t, err)
 	clk.Advance(ProofAge + time.Millisecond)
 	patient, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
-	_, err = pl.Do(patient, post(t), false)
+	_, err = pl.Do(patient, booking)
 	require.NoError(t, err, "a booking gets a new connection")
 	require.Equal(t, int32(2), conns.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
-	_, err = pl.Do(ctx, post(t), true)
+	read := booking
+	read.Repeatable = true
+	_, err = pl.Do(ctx, read)
 	require.True(t, fault.Is(err, KindBroken), "a read may find out")
 	require.Equal(t, int32(2), conns.Load())
 }
@@ -163,9 +163,50 @@
 	pl := NewPool(lis.Addr().String(), 1, clock.System{})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+lis.Addr().String()+"/", strings.NewReader("order"))
-	require.NoError(t, err)
-	_, err = pl.Do(ctx, req, false)
+	_, err = pl.Do(ctx, booking)
 	require.Error(t, err)
 	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
 }
+
+// TestWhatIsSent reads a request and an answer the way the other side does.
+func TestWhatIsSent(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	addr, _ := scripted(t, func(conn net.Conn, rd *bufio.Reader) {
+		req, err := http.ReadRequest(rd)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		seen <- req
+		_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nX-Reason: none\r\nContent-Length: 0\r\n\r\n")
+	})
+	resp, err := NewPool(addr, 1, clock.System{}).Do(context.Background(), Request{
+		Method: http.MethodPut, Path: "/a%20b?c=d", Fields: []Field{{"X-Life", "i-1"}, {"Content-Type", "application/json"}}, Body: []byte("{}"),
+	})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, resp.Status)
+	require.Equal(t, "none", resp.Field("X-Reason"))
+	require.Empty(t, resp.Field("X-Other"))
+	req := <-seen
+	require.Equal(t, http.MethodPut, req.Method)
+	require.Equal(t, "/a%20b?c=d", req.URL.String())
+	require.Equal(t, addr, req.Host)
+	require.Equal(t, "i-1", req.Header.Get("X-Life"))
+	require.Equal(t, int64(2), req.ContentLength)
+}
+
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	addr, conns := scripted(t, func(conn net.Conn, rd *bufio.Reader) {
+		for readRequest(rd) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n")
+		}
+	})
+	pl := NewPool(addr, 1, clock.System{})
+	for range 2 {
+		resp, err := pl.Do(context.Background(), Request{Method: http.MethodHead, Path: "/"})
+		require.NoError(t, err)
+		require.Empty(t, resp.Body)
+	}
+	require.Equal(t, int32(1), conns.Load())
+}
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -194,8 +194,8 @@
 	for sp := range max(1, int(math.Round(around(rng, po.Steps, 0.4, 2.5*po.Steps)))) {
 		mean := around(rng, po.Work, 0.5, 2.5*po.Work)
 		st := spec.Step{
-			Count: max(1, int(math.Round(around(rng, po.Width, 0.6, 4*po.Width)))),
-			Need:  spec.Need{MilliCPU: int(1000 * around(rng, po.Cores, 0.45, 3*po.Cores)), MemoryMB: 1},
+			Count:    max(1, int(math.Round(around(rng, po.Width, 0.6, 4*po.Width)))),
+			Need:     spec.Need{MilliCPU: int(1000 * around(rng, po.Cores, 0.45, 3*po.Cores)), MemoryMB: 1},
 			Estimate: time.Duration(around(rng, mean, po.EstimateOff, 3*mean) * float64(time.Second)), Checkpointing: po.Checkpointing,
 		}
 		if sp > 0 {
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -104,9 +104,9 @@
 	// recording says that ends handed out by Reconcile are being committed.
 	// Others wait, so that the acknowledged number passes over none.
 	recording bool
-	wake     chan struct{}
-	orders   chan func(ctx context.Context)
-	last     report
+	wake      chan struct{}
+	orders    chan func(ctx context.Context)
+	last      report
 	// basis pairs the worker's clock with ours.
 	basisClock time.Duration
 	basisSent  time.Time
