feat: a round looks only at what can be placed

Cause: each round compared each job's queue with all routes, built the tasks of jobs whose pool was full, and listed the workers of pools that nobody asked. Collecting garbage took an eighth of the leader's processor time (79 times in 60 s, trial on a scratch copy). Change: queues are indexed; steps that fit on no worker of their pool, and pools without demand, are passed over; the control role's heap may grow to three times what is in use.

--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"runtime/debug"
 	"time"
 
 	"greengageweir/internal/duty/clock"
@@ -20,6 +21,10 @@
 	retentionMargin = time.Second
 	// controlPatience is the time for requests in flight at a stop.
 	controlPatience = time.Second
+	// collectorPercent lets the heap grow to three times what is in use before
+	// it is collected. A leader of 349 workers has 25 MB in use and spent an
+	// eighth of its processor time on collecting at the usual 100.
+	collectorPercent = 200
 )
 
 // platformControlCommand runs a process that holds the log on the platform's
@@ -35,6 +40,7 @@
 	if err := formatFirst(st.DataDir, st.PeerAddress(), st.SeedPeers(), st.FirstStart, lg); err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectorPercent)
 	ctx := stopContext(lg, func() string { return "nothing that is not synced" })
 	ho := platformHolder(&st, lg)
 	ho.build()
--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -116,16 +116,6 @@
 	return best, found
 }
 
-// ByKey returns the queue with a key.
-func (ct Catalog) ByKey(key string) (Queue, bool) {
-	for _, qu := range ct.Queues {
-		if qu.Key() == key {
-			return qu, true
-		}
-	}
-	return Queue{}, false
-}
-
 // PoolByName returns a pool.
 func (ct Catalog) PoolByName(name weir.PoolName) (Pool, bool) {
 	for _, po := range ct.Pools {
--- a/internal/job/owner/advice.go
+++ b/internal/job/owner/advice.go
@@ -44,7 +44,7 @@
 	if re.asking || ow.Adviser == nil || (ad != nil && now.Before(ad.retryAt)) {
 		return nil
 	}
-	workers := ow.candidates(re, rd, qu.Pool)
+	workers := ow.candidates(re, rd, qu)
 	if len(workers) == 0 {
 		return nil
 	}
@@ -56,14 +56,14 @@
 
 // candidates are the pool's workers that the adviser is asked about, those
 // with most room first.
-func (ow *Owner) candidates(re *reign, rd store.Reader, pool weir.PoolName) []weir.InstanceID {
-	usable := ow.usable(re, rd, ow.Clock.Now())
+func (ow *Owner) candidates(re *reign, rd store.Reader, qu catalog.Queue) []weir.InstanceID {
+	usable := ow.usable(re, rd, ow.Clock.Now(), []demanded{{queue: qu}})
 	slices.SortFunc(usable, func(one, other workerView) int {
 		return cmp.Or(cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU), cmp.Compare(one.ID, other.ID))
 	})
 	var ids []weir.InstanceID
 	for _, wk := range usable {
-		if wk.Pool == pool && len(ids) < maxAsked {
+		if len(ids) < maxAsked {
 			ids = append(ids, wk.ID)
 		}
 	}
--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -122,7 +122,6 @@
 
 // loads sums up what the queues of each pool ask for.
 func (ow *Owner) loads(rd store.Reader) map[weir.PoolName]balance.Load {
-	ct := rd.Catalog()
 	wall := ow.Wall.Now()
 	loads := map[weir.PoolName]balance.Load{}
 	largest := 0
@@ -133,7 +132,7 @@
 		loads[wk.Pool] = ld
 	})
 	rd.EachActive(func(js *store.JobState) {
-		qu, ok := ct.ByKey(js.Spec.Queue)
+		qu, ok := rd.Queue(js.Spec.Queue)
 		if !ok || js.Phase.Over() {
 			return
 		}
--- a/internal/job/owner/pace.go
+++ b/internal/job/owner/pace.go
@@ -53,6 +53,10 @@
 }
 
 func (ow *Owner) paceWorker(re *reign, rd store.Reader, id weir.InstanceID, at *attended) {
+	if rd.Load(id).Filling == 0 {
+		delete(re.pace, id)
+		return
+	}
 	arrived, running := at.ss.Running()
 	worst := 0.0
 	var filling []weir.RunKey
--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -24,10 +24,13 @@
 	}
 	var starts []plan.Placement
 	ow.Store.Read(func(rd store.Reader) {
-		groups := ow.ready(ctx, re, rd)
-		if len(groups) > 0 {
-			starts = plan.Place(ow.Wall.Now(), groups, ow.usable(re, rd, now))
+		demand := ow.demand(rd)
+		if len(demand) == 0 {
+			return
 		}
+		workers := ow.usable(re, rd, now, demand)
+		groups := ow.ready(ctx, re, rd, demand, roomOf(workers))
+		starts = plan.Place(ow.Wall.Now(), groups, workers)
 	})
 	if len(starts) == 0 {
 		return
@@ -109,38 +112,67 @@
 		"worker", pl.Worker, "checkpoint", order.Checkpoint)
 }
 
-// ready lists the steps with tasks that may start now.
-func (ow *Owner) ready(ctx context.Context, re *reign, rd store.Reader) []plan.Group {
-	var groups []plan.Group
-	ct := rd.Catalog()
-	wall := ow.Wall.Now()
+// demanded is a job that may have tasks to place, and its queue.
+type demanded struct {
+	job   *store.JobState
+	queue catalog.Queue
+}
+
+// demand lists the jobs that may have tasks to place.
+func (ow *Owner) demand(rd store.Reader) []demanded {
+	var out []demanded
 	rd.EachActive(func(js *store.JobState) {
 		if js.Phase.Over() || !js.Unplaced() {
 			return
 		}
-		qu, ok := ct.ByKey(js.Spec.Queue)
-		if !ok {
-			return
+		if qu, ok := rd.Queue(js.Spec.Queue); ok {
+			out = append(out, demanded{job: js, queue: qu})
 		}
+	})
+	return out
+}
+
+// roomOf returns, for each pool, the most that any of its workers has free of
+// each kind of room. What does not fit there need not be looked at further.
+func roomOf(workers []plan.Worker) map[weir.PoolName]spec.Need {
+	room := map[weir.PoolName]spec.Need{}
+	for _, wk := range workers {
+		most := room[wk.Pool]
+		room[wk.Pool] = spec.Need{
+			MilliCPU: max(most.MilliCPU, wk.Free.MilliCPU), MemoryMB: max(most.MemoryMB, wk.Free.MemoryMB), GPU: max(most.GPU, wk.Free.GPU),
+		}
+	}
+	return room
+}
+
+// ready lists the steps with tasks that may start now.
+func (ow *Owner) ready(ctx context.Context, re *reign, rd store.Reader, demand []demanded, room map[weir.PoolName]spec.Need) []plan.Group {
+	var groups []plan.Group
+	wall := ow.Wall.Now()
+	for _, dm := range demand {
+		js, qu := dm.job, dm.queue
 		for oc := range js.Rounds {
 			if due := js.Spec.DueAt(oc); due.After(wall) {
 				break
 			}
-			work := workLeft(js, oc)
 			for sp := range js.Rounds[oc] {
-				if gr, ok := ow.group(re, js, qu, oc, sp); ok {
-					gr.Work = work
-					if qu.Advice != nil {
-						gr.Allowed = ow.tickets(ctx, re, rd, gr.Step, qu)
-						if gr.Allowed == nil {
-							continue
-						}
+				if !js.Spec.Steps[sp].Counted().Fits(room[qu.Pool]) {
+					continue
+				}
+				gr, ok := ow.group(re, js, qu, oc, sp)
+				if !ok {
+					continue
+				}
+				gr.Work = workLeft(js, oc)
+				if qu.Advice != nil {
+					if gr.Allowed = ow.tickets(ctx, re, rd, gr.Step, qu); gr.Allowed == nil {
+						continue
 					}
-					groups = append(groups, gr)
 				}
+				groups = append(groups, gr)
 			}
 		}
-	})
+	}
 	return groups
 }
 
@@ -214,10 +246,17 @@
 // workerView is a worker as the plan sees it.
 type workerView = plan.Worker
 
-// usable lists the workers that can take tasks now.
-func (ow *Owner) usable(re *reign, rd store.Reader, now time.Time) []plan.Worker {
+// usable lists the workers that can take tasks of some jobs now.
+func (ow *Owner) usable(re *reign, rd store.Reader, now time.Time, demand []demanded) []plan.Worker {
+	pools := map[weir.PoolName]bool{}
+	for _, dm := range demand {
+		pools[dm.queue.Pool] = true
+	}
 	workers := make([]plan.Worker, 0, len(re.sessions))
 	for id, at := range re.sessions {
+		if !pools[at.worker.Pool] {
+			continue
+		}
 		wk, ok := rd.Worker(id)
 		if !ok || wk.Draining || wk.Born != at.worker.Born || !at.ss.Usable() || re.machines.closed(rd, wk.Machine) {
 			continue
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -12,6 +12,12 @@
 // Catalog is the configuration in force.
 func (rd Reader) Catalog() catalog.Catalog { return rd.st.Catalog }
 
+// Queue returns the queue with a key.
+func (rd Reader) Queue(key string) (catalog.Queue, bool) {
+	qu, ok := rd.st.Queues[key]
+	return qu, ok
+}
+
 // Job returns a job, nil where it is not known. It must not be changed, nor
 // kept beyond the read.
 func (rd Reader) Job(id spec.ID) *JobState { return rd.st.Jobs[id] }
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -149,6 +149,7 @@
 	ByQueue map[string]map[spec.ID]bool              `json:"-"`
 	Runs    map[weir.InstanceID]map[RunKey]spec.Need `json:"-"`
 	Loads   map[weir.InstanceID]WorkerLoad           `json:"-"`
+	Queues  map[string]catalog.Queue                 `json:"-"`
 	// WorkerChanges counts the changes of workers that this member applied.
 	WorkerChanges uint64 `json:"-"`
 }
@@ -200,6 +201,7 @@
 	st.ByQueue = map[string]map[spec.ID]bool{}
 	st.Runs = map[weir.InstanceID]map[RunKey]spec.Need{}
 	st.Loads = map[weir.InstanceID]WorkerLoad{}
+	st.indexQueues()
 	for id, js := range st.Jobs {
 		if js.Rounds != nil {
 			st.Active[id] = true
@@ -218,6 +220,13 @@
 	}
 }
 
+func (st *state) indexQueues() {
+	st.Queues = make(map[string]catalog.Queue, len(st.Catalog.Queues))
+	for _, qu := range st.Catalog.Queues {
+		st.Queues[qu.Key()] = qu
+	}
+}
+
 func (st *state) addToQueue(js *JobState) {
 	if js.Begun || js.Phase.Over() {
 		return
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -168,6 +168,7 @@
 		return refused("version is not newer")
 	}
 	st.Catalog = *ct
+	st.indexQueues()
 	return taken
 }
 
@@ -305,7 +306,7 @@
 	}
 	tk.FailedRun = en.Run
 	tk.Failures++
-	qu, ok := st.Catalog.ByKey(js.Spec.Queue)
+	qu, ok := st.Queues[js.Spec.Queue]
 	if ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Over() {
 		st.end(at, js, Failed)
 	}
