fix: a configuration of many routes no longer costs the leader its place

Change: configurations are packed where they come in and unpacked once at each member; a process that holds the newest version is told so and answers from its own copy; a version that is not newer than a committed one is acknowledged where it comes in.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -72,7 +72,7 @@
 	Queues  []Queue `json:"queues"`
 	Pools   []Pool  `json:"pools"`
 	// Document is the operator's own text, kept to be read back.
-	Document []byte `json:"document"`
+	Document []byte `json:"document,omitempty"`
 }
 
 // Check reports the first thing that is wrong.
--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -54,11 +54,15 @@
 	Host string `json:"host,omitempty"`
 	Path string `json:"path,omitempty"`
 	// Job is what is submitted, without id and queue.
-	Job     *spec.Job        `json:"job,omitempty"`
-	Catalog *catalog.Catalog `json:"catalog,omitempty"`
+	Job *spec.Job `json:"job,omitempty"`
+	// Catalog is packed before it is passed on.
+	Catalog *catalog.Catalog `json:"-"`
+	Packed  *catalog.Packed  `json:"packed,omitempty"`
 	Worker  *Announcement    `json:"worker,omitempty"`
 	Wave    *store.Wave      `json:"wave,omitempty"`
-	Number  int64            `json:"number,omitempty"`
+	// Number is a wave's, or the version of the configuration that the asking
+	// process holds.
+	Number int64 `json:"number,omitempty"`
 	// Hops counts the processes that forwarded the call.
 	Hops int `json:"hops,omitempty"`
 }
@@ -123,13 +127,17 @@
 
 // Reply is the answer to a call.
 type Reply struct {
-	Outcome    Outcome       `json:"outcome"`
-	Reason     string        `json:"reason,omitempty"`
-	Phase      store.Phase   `json:"phase,omitempty"`
-	Pending    int           `json:"pending,omitempty"`
-	Document   []byte        `json:"document,omitempty"`
-	Done       bool          `json:"done,omitempty"`
-	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	Outcome  Outcome     `json:"outcome"`
+	Reason   string      `json:"reason,omitempty"`
+	Phase    store.Phase `json:"phase,omitempty"`
+	Pending  int         `json:"pending,omitempty"`
+	Document []byte      `json:"document,omitempty"`
+	// Version and Packed are the newest configuration; Packed is empty where
+	// the asking process holds it.
+	Version    int64           `json:"version,omitempty"`
+	Packed     *catalog.Packed `json:"packed,omitempty"`
+	Done       bool            `json:"done,omitempty"`
+	RetryAfter time.Duration   `json:"retryAfter,omitempty"`
 	// Leader is the process that answered, where it leads.
 	Leader string `json:"leader,omitempty"`
 	// AnnounceTo is the process to which a worker should announce itself from
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -11,6 +11,7 @@
 	"context"
 	"time"
 
+	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/contract/jobapi"
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/job/owner"
@@ -83,7 +84,13 @@
 			return jobapi.Reply{Outcome: jobapi.OK, AnnounceTo: sv.Self}
 		}
 	}
+	if rep, done := sv.packed(&call); done {
+		return rep
+	}
 	rep := sv.place(ctx, call)
+	if call.Kind == jobapi.GetCatalog && call.Hops == 0 {
+		return sv.unpacked(rep)
+	}
 	if call.Kind == jobapi.Announce && rep.Outcome == jobapi.OK && sv.follows() {
 		rep.AnnounceTo = sv.Self
 	}
@@ -164,7 +171,7 @@
 	case jobapi.PutCatalog:
 		return sv.putCatalog(ctx, call)
 	case jobapi.GetCatalog:
-		return sv.getCatalog()
+		return sv.getCatalog(call)
 	case jobapi.Announce:
 		return sv.announce(ctx, call)
 	case jobapi.Depart:
@@ -295,30 +302,83 @@
 }
 
 // putCatalog acknowledges a version that is not newer without taking it, as a
-// change that was accepted may be sent again at any time.
+// change that was accepted may be sent again at any time. The process where it
+// came in has checked it.
 func (sv *Service) putCatalog(ctx context.Context, call jobapi.Call) jobapi.Reply {
-	if err := call.Catalog.Check(); err != nil {
-		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
-	}
-	ans, failed := sv.commit(ctx, store.Change{Catalog: call.Catalog})
+	ans, failed := sv.commit(ctx, store.Change{Catalog: call.Packed})
 	if failed != nil {
 		return *failed
 	}
-	_ = sv.Logger.Log("level", "info", "msg", "configuration", "version", call.Catalog.Version, "taken", ans.Taken,
-		"reason", ans.Reason, "queues", len(call.Catalog.Queues), "pools", len(call.Catalog.Pools))
+	var ct catalog.Catalog
+	sv.Store.Read(func(rd store.Reader) { ct = rd.Catalog() })
+	_ = sv.Logger.Log("level", "info", "msg", "configuration", "version", call.Packed.Version, "taken", ans.Taken,
+		"reason", ans.Reason, "packedBytes", len(call.Packed.Data), "inForce", ct.Version, "queues", len(ct.Queues), "pools", len(ct.Pools))
 	sv.Owner.Wake()
 	return jobapi.Reply{Outcome: jobapi.OK, Reason: ans.Reason}
 }
 
-func (sv *Service) getCatalog() jobapi.Reply {
+// packed prepares a call about the configuration where it comes in: it checks
+// and packs a new one, and tells which one this process holds. It answers what
+// needs no leader: a version that is not newer than a committed one changes
+// nothing, whoever leads.
+func (sv *Service) packed(call *jobapi.Call) (rep jobapi.Reply, done bool) {
+	if call.Hops > 0 {
+		return rep, false
+	}
+	held := int64(0)
+	sv.Store.Read(func(rd store.Reader) { held = rd.Packed().Version })
+	switch call.Kind {
+	case jobapi.GetCatalog:
+		call.Number = held
+	case jobapi.PutCatalog:
+		if err := call.Catalog.Check(); err != nil {
+			return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}, true
+		}
+		if call.Catalog.Version <= held {
+			return jobapi.Reply{Outcome: jobapi.OK, Reason: "version is not newer"}, true
+		}
+		var err error
+		if call.Packed, err = call.Catalog.Pack(); err != nil {
+			return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}, true
+		}
+		call.Catalog = nil
+	default:
+	}
+	return rep, false
+}
+
+// unpacked completes the leader's answer about the newest configuration.
+func (sv *Service) unpacked(rep jobapi.Reply) jobapi.Reply {
+	switch {
+	case rep.Outcome != jobapi.OK:
+		return rep
+	case rep.Packed != nil:
+		ct, err := rep.Packed.Unpack()
+		if err != nil {
+			return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: err.Error(), RetryAfter: retryUnavailable}
+		}
+		rep.Document = ct.Document
+	default:
+		sv.Store.Read(func(rd store.Reader) { rep.Document = rd.Catalog().Document })
+	}
+	rep.Packed = nil
+	return rep
+}
+
+// getCatalog answers with the newest configuration, packed, or only with its
+// version where the asking process holds that.
+func (sv *Service) getCatalog(call jobapi.Call) jobapi.Reply {
 	var rep jobapi.Reply
 	sv.Store.Read(func(rd store.Reader) {
-		ct := rd.Catalog()
-		if ct.Version == 0 {
+		pk := rd.Packed()
+		if pk.Version == 0 {
 			rep = noCatalog
 			return
 		}
-		rep = jobapi.Reply{Outcome: jobapi.OK, Document: ct.Document}
+		rep = jobapi.Reply{Outcome: jobapi.OK, Version: pk.Version}
+		if call.Number != pk.Version {
+			rep.Packed = &pk
+		}
 	})
 	return rep
 }
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -19,7 +19,7 @@
 
 // Change is one change; exactly one field is set.
 type Change struct {
-	Catalog *catalog.Catalog  `json:"cat,omitempty"`
+	Catalog *catalog.Packed   `json:"cat,omitempty"`
 	Submit  *spec.Job         `json:"sub,omitempty"`
 	Cancel  *spec.ID          `json:"can,omitempty"`
 	Join    *Worker           `json:"join,omitempty"`
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -12,6 +12,9 @@
 // Catalog is the configuration in force.
 func (rd Reader) Catalog() catalog.Catalog { return rd.st.Catalog }
 
+// Packed is the configuration in force, packed.
+func (rd Reader) Packed() catalog.Packed { return rd.st.Packed }
+
 // Queue returns the queue with a key.
 func (rd Reader) Queue(key string) (catalog.Queue, bool) {
 	qu, ok := rd.st.Queues[key]
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -140,7 +140,7 @@
 // state is the whole replicated state.
 type state struct {
 	Index   uint64                                   `json:"index"`
-	Catalog catalog.Catalog                          `json:"catalog"`
+	Packed  catalog.Packed                           `json:"catalog"`
 	Jobs    map[spec.ID]*JobState                    `json:"jobs"`
 	Workers map[weir.InstanceID]*Worker              `json:"workers"`
 	Waves   map[int64]*Wave                          `json:"waves"`
@@ -149,7 +149,9 @@
 	ByQueue map[string]map[spec.ID]bool              `json:"-"`
 	Runs    map[weir.InstanceID]map[RunKey]spec.Need `json:"-"`
 	Loads   map[weir.InstanceID]WorkerLoad           `json:"-"`
-	Queues  map[string]catalog.Queue                 `json:"-"`
+	// Catalog is what Packed holds, and Queues its queues by key.
+	Catalog catalog.Catalog          `json:"-"`
+	Queues  map[string]catalog.Queue `json:"-"`
 	// WorkerChanges counts the changes of workers that this member applied.
 	WorkerChanges uint64 `json:"-"`
 }
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -121,6 +121,13 @@
 	if err := json.Unmarshal(data, st); err != nil {
 		return &Error{Op: "restore", Kind: KindFormat, Err: err}
 	}
+	if len(st.Packed.Data) > 0 {
+		ct, err := st.Packed.Unpack()
+		if err != nil {
+			return &Error{Op: "restore", Kind: KindFormat, Err: err}
+		}
+		st.Catalog = ct
+	}
 	st.Index = index
 	st.index()
 	sr.mu.Lock()
@@ -163,11 +170,16 @@
 }
 
 // applyCatalog keeps the highest version; an older one changes nothing.
-func (st *state) applyCatalog(ct *catalog.Catalog) Answer {
-	if ct.Version <= st.Catalog.Version {
+func (st *state) applyCatalog(pk *catalog.Packed) Answer {
+	if pk.Version <= st.Packed.Version {
 		return refused("version is not newer")
 	}
-	st.Catalog = *ct
+	ct, err := pk.Unpack()
+	if err != nil {
+		invariant.Check(false, "catalogReadable", "version", pk.Version, "err", err)
+		return refused("unreadable")
+	}
+	st.Packed, st.Catalog = *pk, ct
 	st.indexQueues()
 	return taken
 }
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -26,16 +26,22 @@
 
 func newFixture(t require.TestingT) *fixture {
 	fx := &fixture{t: t, sr: New()}
-	fx.taken(Change{Catalog: &catalog.Catalog{
+	fx.taken(Change{Catalog: packed(t, catalog.Catalog{
 		Version: 1, Pools: []catalog.Pool{{Name: "desk"}},
 		Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, MaxAttempts: 2}},
-	}})
+	})})
 	for ix := range 3 {
 		fx.taken(Change{Join: testWorker(ix, 1)})
 	}
 	return fx
 }
 
+func packed(t require.TestingT, ct catalog.Catalog) *catalog.Packed {
+	pk, err := ct.Pack()
+	require.NoError(t, err)
+	return pk
+}
+
 func testWorker(ix int, born int64) *Worker {
 	return &Worker{
 		ID: weir.InstanceID(fmt.Sprint("w", ix)), Born: born, Pool: "desk", Address: fmt.Sprint("addr", ix),
@@ -193,9 +199,9 @@
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	fx := newFixture(t)
-	fx.taken(Change{Catalog: &catalog.Catalog{Version: 7, Document: []byte("seven")}})
-	fx.refused(Change{Catalog: &catalog.Catalog{Version: 7, Document: []byte("other")}}, "version is not newer")
-	fx.refused(Change{Catalog: &catalog.Catalog{Version: 3}}, "version is not newer")
+	fx.taken(Change{Catalog: packed(t, catalog.Catalog{Version: 7, Document: []byte("seven")})})
+	fx.refused(Change{Catalog: packed(t, catalog.Catalog{Version: 7, Document: []byte("other")})}, "version is not newer")
+	fx.refused(Change{Catalog: packed(t, catalog.Catalog{Version: 3})}, "version is not newer")
 	fx.sr.Read(func(rd Reader) { require.Equal(t, "seven", string(rd.Catalog().Document)) })
 }
 
