fix: machines go at the pace of their platform, the most urgent first

Orders also waited for the next look at machines, up to 0.1 s. Ruled out: the platform refused none (0 throttled, 30 busy). Change: committed orders are sent in each round, at nine tenths of the rate that the settings name, at most 48 under way, machines for pools that work first, those that go to stand by last.

--- a/cmd/greengageweir/holder.go
+++ b/cmd/greengageweir/holder.go
@@ -52,6 +52,8 @@
 	Turn     time.Duration
 	Workers  weir.TaskWorkers
 	Machines weir.MachinePlatform
+	// MachineRate is how many orders a second the platform takes; 0 is any.
+	MachineRate float64
 	Adviser  weir.Adviser
 	Logger   log.Logger
 
@@ -77,7 +79,7 @@
 	}
 	com := &owner.Committer{Log: ho.node, Wall: wall}
 	own := &owner.Owner{
-		Store: str, Committer: com, Lead: ho.node, Workers: ho.Workers, Machines: ho.Machines, Adviser: ho.Adviser, Clock: steady, Wall: wall, Logger: lg,
+		Store: str, Committer: com, Lead: ho.node, Workers: ho.Workers, Machines: ho.Machines, MachineRate: ho.MachineRate, Adviser: ho.Adviser, Clock: steady, Wall: wall, Logger: lg,
 		Lease: workerLease, Retention: ho.Retention, HolderName: ho.Name, OrderPause: ho.Turn,
 	}
 	str.Applied = own.Wake
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -63,6 +63,7 @@
 	}
 	if st.Cloud.Address != "" {
 		ho.Machines = platform.NewMachines(st.Cloud.Address, clock.Steady{})
+		ho.MachineRate = st.Cloud.OrdersPerS
 	}
 	if st.Adviser != "" {
 		ho.Adviser = platform.NewAdviser(st.Adviser, clock.Steady{})
--- a/internal/job/owner/blocked_test.go
+++ b/internal/job/owner/blocked_test.go
@@ -47,7 +47,7 @@
 	}
 	apply(store.Change{Submit: &spec.Job{ID: "a", Steps: []spec.Step{{Count: 3, Lasting: true, MaxAway: 1}}}})
 	ow := &Owner{Store: st, Logger: log.NewNopLogger(), wake: make(chan struct{}, 1)}
-	re := &reign{sessions: map[weir.InstanceID]*attended{}, evicted: map[weir.RunKey]bool{}, machines: newMachineDuty()}
+	re := &reign{sessions: map[weir.InstanceID]*attended{}, evicted: map[weir.RunKey]bool{}, machines: newMachineDuty(0)}
 	for ix := range 3 {
 		id := fmt.Sprint("w", ix)
 		wk := store.Worker{ID: weir.InstanceID(id), Born: 1, Address: id, Machine: "m" + id}
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -1,18 +1,29 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"greengageweir/internal/job/store"
 
+	"golang.org/x/time/rate"
+
 	weir "greengageweir"
 )
 
 const (
 	// machineRetry separates orders without a useful answer.
 	machineRetry = 400 * time.Millisecond
+	// machineShare is the share of the platform's rate that is used, as the
+	// platform's seconds are not ours.
+	machineShare = 0.9
+	// machineBurst is how long a pause saves up orders for.
+	machineBurst = 250 * time.Millisecond
+	// machineSlots bounds the orders under way; the client of the platform has
+	// connections for them.
+	machineSlots = 48
 	// machineTimeout is how long the platform may take to answer.
 	machineTimeout = 1500 * time.Millisecond
 )
@@ -47,10 +58,17 @@
 	answered map[string]time.Time
 	// gone holds the worker life that an operation has ended.
 	gone map[string]int64
+	// limit paces orders to what the platform takes.
+	limit *rate.Limiter
 }
 
-func newMachineDuty() *machineDuty {
+func newMachineDuty(perSecond float64) *machineDuty {
+	limit := rate.NewLimiter(rate.Inf, 0)
+	if perSecond > 0 {
+		limit = rate.NewLimiter(rate.Limit(machineShare*perSecond), max(1, int(perSecond*machineBurst.Seconds())))
+	}
 	return &machineDuty{
+		limit:  limit,
 		cordon: map[string]time.Time{}, asked: map[string]time.Time{}, busy: map[string]bool{},
 		leaving: map[string]bool{}, listed: map[string]weir.Machine{}, sent: map[string]sentTo{},
 		needs: map[weir.PoolName][]needed{}, intent: map[string]bool{}, mine: map[string]bool{}, answered: map[string]time.Time{}, gone: map[string]int64{},
@@ -75,17 +93,15 @@
 	return ordered || md.cordoned(machine) || md.intent[machine] || md.leaving[machine]
 }
 
-// maintain carries on what is asked of machines: it repeats orders that were
-// not answered, begins maintenance that may begin, and moves machines.
+// maintain carries on what is asked of machines: it begins maintenance that may
+// begin, and moves machines.
 func (ow *Owner) maintain(ctx context.Context, re *reign, now time.Time) {
 	if ow.Machines == nil {
 		return
 	}
 	ow.list(ctx, re, now)
 	md := re.machines
-	var orders []weir.MachineOrder
 	ow.Store.Read(func(rd store.Reader) {
-		orders = ow.unanswered(re, rd, now)
 		byMachine := map[string]store.Worker{}
 		rd.EachWorker(func(wk store.Worker) { byMachine[wk.Machine] = wk })
 		numbers := make([]int64, 0, len(rd.Waves()))
@@ -100,7 +116,21 @@
 		}
 		ow.balance(re, rd, byMachine, now)
 	})
+}
+
+// orderMachines sends the orders that are committed and not known to be done,
+// as fast as the platform takes them.
+func (ow *Owner) orderMachines(ctx context.Context, re *reign, now time.Time) {
+	if ow.Machines == nil {
+		return
+	}
+	md := re.machines
+	var orders []weir.MachineOrder
+	ow.Store.Read(func(rd store.Reader) { orders = ow.unanswered(re, rd, now) })
 	for _, order := range orders {
+		if len(md.busy) >= machineSlots || !md.limit.AllowN(now, 1) {
+			return
+		}
 		md.busy[order.Machine] = true
 		md.asked[order.Machine] = now
 		go ow.orderMachine(ctx, re, order)
@@ -121,7 +151,9 @@
 	return now.Sub(last) >= ow.OrderPause
 }
 
-// unanswered lists the orders that are committed and not known to be done.
+// unanswered lists the orders that are committed and not known to be done:
+// first machines for pools that work, then maintenance, then what goes to stand
+// by.
 func (ow *Owner) unanswered(re *reign, rd store.Reader, now time.Time) []weir.MachineOrder {
 	md := re.machines
 	var orders []weir.MachineOrder
@@ -132,6 +164,18 @@
 			})
 		}
 	})
+	urgency := func(order weir.MachineOrder) int {
+		switch po, _ := rd.Catalog().PoolByName(order.Pool); {
+		case order.Wave != 0:
+			return 1
+		case po.Standby:
+			return 2
+		}
+		return 0
+	}
+	slices.SortFunc(orders, func(one, other weir.MachineOrder) int {
+		return cmp.Or(urgency(one)-urgency(other), cmp.Compare(one.Machine, other.Machine))
+	})
 	return orders
 }
 
