fix: lasting tasks wait for workers to spread over

Ruled out: racks that were lost; tasks that were away for other reasons. Change: a task that would crowd a worker beyond what planned work may take away waits up to two seconds for another worker. Test: plan.TestPlace, four cases.

--- a/internal/job/owner/place.go
+++ b/internal/job/owner/place.go
@@ -208,7 +208,11 @@
 		}
 		if !tk.Done {
 			ref.Index = ix
-			gr.Tasks = append(gr.Tasks, plan.Task{Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, Avoid: re.avoid[ref]})
+			since := js.Accepted
+			if tk.EndedAt.After(since) {
+				since = tk.EndedAt
+			}
+			gr.Tasks = append(gr.Tasks, plan.Task{Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, Avoid: re.avoid[ref], Since: since})
 		}
 	}
 	if step.Gang {
--- a/internal/schedule/plan/plan.go
+++ b/internal/schedule/plan/plan.go
@@ -28,8 +28,15 @@
 	Checkpoint string
 	// Avoid names a worker on which it ended badly last; it may be empty.
 	Avoid weir.InstanceID
+	// Since is when the task began to wait.
+	Since time.Time
 }
 
+// spreadPatience is how long a lasting task waits for a worker that holds
+// fewer of its step than planned work may take away: a machine that was sent
+// for is there after about 1.6 s.
+const spreadPatience = 2 * time.Second
+
 // Group is the tasks of one step of one occurrence that may start now.
 type Group struct {
 	Step  weir.TaskRef // names the step
@@ -94,7 +101,7 @@
 	}
 	var out []Placement
 	for _, gr := range ordered {
-		out = append(out, place(gr, byPool[gr.Pool])...)
+		out = append(out, place(now, gr, byPool[gr.Pool])...)
 	}
 	return out
 }
@@ -114,7 +121,7 @@
 	}
 }
 
-func place(gr Group, workers []*Worker) []Placement {
+func place(now time.Time, gr Group, workers []*Worker) []Placement {
 	if !slices.ContainsFunc(workers, func(wk *Worker) bool { return wk.accepts(gr, gr.On) }) {
 		return nil
 	}
@@ -133,7 +140,7 @@
 	var out []Placement
 	for _, tk := range gr.Tasks {
 		wk := choose(gr, tk, on, rack, workers)
-		if wk == nil {
+		if wk == nil || (gr.crowds(on[wk.ID]) && tk.waits(now)) {
 			break
 		}
 		wk.take(gr.Spec)
@@ -260,6 +267,19 @@
 	return cmp.Compare(on[one.ID], on[other.ID])
 }
 
+// crowds reports whether one more task on a worker that holds some of its step
+// is one too many for the worker's maintenance.
+func (gr Group) crowds(held int) bool {
+	return gr.Spec.Lasting && gr.Spec.MaxAway > 0 && held >= gr.Spec.MaxAway
+}
+
+// waits reports whether a task has not waited long for a better worker. A time
+// of day that was set back ends the wait.
+func (tk Task) waits(now time.Time) bool {
+	waited := now.Sub(tk.Since)
+	return waited >= 0 && waited < spreadPatience
+}
+
 // keeps reports whether lasting tasks tie the worker to its pool.
 func (wk *Worker) keeps() bool { return wk.Serving+wk.Filling > 0 }
 
--- a/internal/schedule/plan/plan_test.go
+++ b/internal/schedule/plan/plan_test.go
@@ -32,6 +32,14 @@
 	return gr
 }
 
+func waitingFor(span time.Duration) func(gr *Group) {
+	return func(gr *Group) {
+		for ix := range gr.Tasks {
+			gr.Tasks[ix].Since = testNow.Add(-span)
+		}
+	}
+}
+
 func cores(count int) spec.Need { return spec.Need{MilliCPU: count * 1000, MemoryMB: 10} }
 
 // counts tells how many tasks of each job went to each worker.
@@ -70,6 +78,26 @@
 			[]Worker{worker("w1", 4)},
 			map[string]int{"first on w1": 1},
 		},
+		"lasting tasks wait for more workers": {
+			[]Group{group("a", spec.Step{Count: 5, Need: cores(1), Lasting: true, MaxAway: 1}, waitingFor(time.Second))},
+			[]Worker{worker("w1", 8), worker("w2", 8)},
+			map[string]int{"a on w1": 1, "a on w2": 1},
+		},
+		"lasting tasks do not wait for ever": {
+			[]Group{group("a", spec.Step{Count: 5, Need: cores(1), Lasting: true, MaxAway: 1}, waitingFor(spreadPatience))},
+			[]Worker{worker("w1", 8), worker("w2", 8)},
+			map[string]int{"a on w1": 3, "a on w2": 2},
+		},
+		"a clock that was set back ends the wait": {
+			[]Group{group("a", spec.Step{Count: 2, Need: cores(1), Lasting: true, MaxAway: 1}, waitingFor(-time.Second))},
+			[]Worker{worker("w1", 8)},
+			map[string]int{"a on w1": 2},
+		},
+		"as many as may be away share a worker at once": {
+			[]Group{group("a", spec.Step{Count: 4, Need: cores(1), Lasting: true, MaxAway: 2}, waitingFor(0))},
+			[]Worker{worker("w1", 8), worker("w2", 8)},
+			map[string]int{"a on w1": 2, "a on w2": 2},
+		},
 		"lasting tasks of a step stay apart": {
 			[]Group{group("a", spec.Step{Count: 2, Need: cores(1), Lasting: true, MaxAway: 1})},
 			[]Worker{worker("w1", 8), worker("w2", 64)},
