fix: a member applies its log before an election, and in parts

Ruled out: links (up within 0.1 s), the disk (log read in 0.4 s). Change: a member notes with its entries how far they are committed, and applies that far while a leader is still to be found; entries are applied 64 at a time, with heartbeats and messages in between. Tests: TestLeaderBeatsWhileItApplies, TestCommitIsRemembered; random faults and changes of members now restart with what was noted.

--- a/internal/standin/slopes/measure_log.go
+++ b/internal/standin/slopes/measure_log.go
@@ -21,7 +21,7 @@
 	for ix := range count {
 		list = append(list, replica.Entry{Index: uint64(ix) + 1, Term: 1, Kind: replica.EntryCommand, Data: body})
 	}
-	ms.check(lg.Append(nil, list))
+	ms.check(lg.Append(nil, list, 0))
 	ms.check(lg.Close())
 	return dir
 }
@@ -53,7 +53,7 @@
 		const count = 20
 		begin := ms.clk.Now()
 		for range count {
-			ms.check(lg.Append(nil, list))
+			ms.check(lg.Append(nil, list, 0))
 		}
 		return ms.clk.Now().Sub(begin).Seconds() * 1000 / count
 	})
--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -202,8 +202,9 @@
 		Rand: rand.New(rand.NewSource(int64(seed.Sum64()))), //nolint:gosec // election jitter is no secret
 	}
 	nd.core.Restore(nd.Clock.Now(), st.Hard, st.Snapshot, st.Entries)
+	nd.core.RestoreCommit(st.Commit)
 	_ = nd.Logger.Log("level", "info", "msg", "log opened", "term", st.Hard.Term, "learner", st.Hard.Learner,
-		"snapshot", st.Snapshot.Index, "entries", len(st.Entries), "tornBytes", st.TornBytes)
+		"snapshot", st.Snapshot.Index, "entries", len(st.Entries), "committed", st.Commit, "tornBytes", st.TornBytes)
 	return nil
 }
 
@@ -235,6 +236,11 @@
 		nd.core.Synced(nd.Clock.Now(), rd)
 		nd.sendAll(rd.Messages)
 		nd.apply(rd.Committed)
+		if len(rd.Committed) > 0 {
+			// More may follow, which must not delay heartbeats and replies.
+			nd.core.Tick(nd.Clock.Now())
+			nd.drain()
+		}
 	}
 	if nd.core.Role() != replica.Leader {
 		nd.failWaiters()
@@ -269,7 +275,7 @@
 		return nil
 	}
 	begin := nd.Clock.Now()
-	err := nd.disk.Append(rd.Hard, rd.Entries)
+	err := nd.disk.Append(rd.Hard, rd.Entries, nd.core.Commit())
 	metrics.GetOrCreateHistogram("weir_log_sync_seconds").Update(nd.Clock.Now().Sub(begin).Seconds())
 	return err
 }
--- a/internal/state/replica/cluster_test.go
+++ b/internal/state/replica/cluster_test.go
@@ -20,6 +20,7 @@
 	hard    Hard
 	snap    Snapshot
 	entries []Entry
+	commit  uint64
 }
 
 // peerState is one member of a test cluster.
@@ -81,6 +82,7 @@
 	}
 	entries := append([]Entry{}, pe.disk.entries...)
 	pe.core.Restore(cl.now, pe.disk.hard, pe.disk.snap, entries)
+	pe.core.RestoreCommit(pe.disk.commit)
 	pe.at = pe.disk.snap.Index
 	pe.applied = nil
 	pe.up = true
@@ -110,6 +112,9 @@
 			return
 		}
 		pe.disk.save(rd)
+		if len(rd.Entries) > 0 {
+			pe.disk.commit = pe.core.Commit()
+		}
 		if crash {
 			cl.crash(id)
 			return
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -14,6 +14,9 @@
 	maxBatchEntries = 512
 	// maxBatchBytes bounds the payload of one append.
 	maxBatchBytes = 1 << 20
+	// maxApply bounds the entries handed out to be applied at a time, so that a
+	// leader with thousands of them to apply goes on sending heartbeats.
+	maxApply = 64
 	// maxUncommitted bounds the entries that wait for commit.
 	maxUncommitted = 8192
 )
@@ -80,6 +83,16 @@
 	co.resetElection(now)
 }
 
+// RestoreCommit notes, after Restore, that the entries up to an index were
+// committed when the process ended, so that they are applied while a leader is
+// still to be found.
+func (co *Core) RestoreCommit(index uint64) {
+	co.commit = max(co.commit, min(index, co.log.last()))
+}
+
+// Commit returns the index up to which entries are known to be committed.
+func (co *Core) Commit() uint64 { return co.commit }
+
 // Status returns a copy of the member's state for display.
 func (co *Core) Status() Status {
 	st := Status{
@@ -223,7 +236,7 @@
 		co.hardDirty = false
 	}
 	rd.Entries = co.log.from(co.stable+1, maxUncommitted, 1<<30)
-	bound := min(co.commit, co.stable)
+	bound := min(co.commit, co.stable, co.applied+maxApply)
 	if bound > co.applied {
 		rd.Committed = co.log.from(co.applied+1, int(bound-co.applied), 1<<30)
 		co.applied = bound
--- a/internal/state/replica/rules_test.go
+++ b/internal/state/replica/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,6 +64,20 @@
 	require.Equal(t, uint64(3), co.Status().Commit)
 }
 
+// TestLeaderBeatsWhileItApplies takes over from a log of a thousand entries.
+func TestLeaderBeatsWhileItApplies(t *testing.T) {
+	co := loneCore(Hard{Term: 1, Disk: "d"}, slices.Repeat([]uint64{1}, 1000)...)
+	co.RestoreCommit(2000)
+	require.Equal(t, uint64(1000), co.Commit(), "no further than the log reaches")
+	applied := 0
+	for rd := co.Ready(); !rd.Empty(); rd = co.Ready() {
+		require.LessOrEqual(t, len(rd.Committed), maxApply)
+		applied += len(rd.Committed)
+		co.Synced(ruleTime, rd)
+	}
+	require.Equal(t, 1000, applied, "before a leader is found")
+}
+
 func TestLearnersAreNotCounted(t *testing.T) {
 	co := loneCore(Hard{Term: 2, Disk: "d1"}, 1, 2)
 	co.lead(t)
--- a/internal/state/wal/record.go
+++ b/internal/state/wal/record.go
@@ -25,6 +25,8 @@
 type record struct {
 	Hard  *replica.Hard  `json:"hard,omitempty"`
 	Entry *replica.Entry `json:"entry,omitempty"`
+	// Commit says that the entries up to an index are committed.
+	Commit uint64 `json:"commit,omitempty"`
 }
 
 // errTorn marks a record that was not written to its end.
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -59,6 +59,8 @@
 	Hard     replica.Hard
 	Snapshot replica.Snapshot
 	Entries  []replica.Entry
+	// Commit is the last index that was known to be committed.
+	Commit uint64
 	// TornBytes were cut off the tail.
 	TornBytes int64
 }
@@ -69,6 +71,8 @@
 	lock *os.File
 	file *os.File
 	size int64
+	// commit is the last index noted as committed.
+	commit uint64
 }
 
 // Format prepares an empty folder as that of a voting member of a new
@@ -190,6 +194,7 @@
 	if rec.Hard != nil {
 		st.Hard = *rec.Hard
 	}
+	st.Commit = max(st.Commit, rec.Commit)
 	ent := rec.Entry
 	if ent == nil || ent.Index <= st.Snapshot.Index {
 		return
@@ -243,8 +248,9 @@
 // maxProbeBytes bounds the record that is looked for behind damage.
 const maxProbeBytes = 1 << 20
 
-// Append writes the hard state (if not nil) and the entries with one sync.
-func (lg *Log) Append(hard *replica.Hard, entries []replica.Entry) error {
+// Append writes the hard state (if not nil), the entries, and up to which index
+// entries are known to be committed, with one sync.
+func (lg *Log) Append(hard *replica.Hard, entries []replica.Entry, commit uint64) error {
 	var buf []byte
 	var err error
 	if hard != nil {
@@ -257,6 +263,12 @@
 			return &Error{Op: "encode", Kind: KindIO, Err: err}
 		}
 	}
+	if commit > lg.commit {
+		lg.commit = commit
+		if buf, err = appendRecord(buf, record{Commit: commit}); err != nil {
+			return &Error{Op: "encode", Kind: KindIO, Err: err}
+		}
+	}
 	if _, err := lg.file.Write(buf); err != nil {
 		return &Error{Op: "append", Kind: KindIO, Err: err}
 	}
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -28,7 +28,7 @@
 	require.NoError(t, err)
 	hard := st.Hard
 	hard.Term, hard.Vote = 3, "c2"
-	require.NoError(t, lg.Append(&hard, entries(1, 5)))
+	require.NoError(t, lg.Append(&hard, entries(1, 5), 0))
 	require.NoError(t, lg.Close())
 	return dir
 }
@@ -44,6 +44,23 @@
 	require.Equal(t, entries(1, 5), st.Entries)
 }
 
+// TestCommitIsRemembered lets a restart apply what was committed before it
+// hears from anybody.
+func TestCommitIsRemembered(t *testing.T) {
+	dir := filled(t)
+	lg, st, err := Open(dir)
+	require.NoError(t, err)
+	require.Zero(t, st.Commit)
+	require.NoError(t, lg.Append(nil, entries(6, 7), 5))
+	require.NoError(t, lg.Append(nil, entries(8, 8), 3), "an older word changes nothing")
+	require.NoError(t, lg.Close())
+	lg, st, err = Open(dir)
+	require.NoError(t, err)
+	defer lg.Close()
+	require.Equal(t, uint64(5), st.Commit)
+	require.Len(t, st.Entries, 8)
+}
+
 func TestEmptyFolderIsLearner(t *testing.T) {
 	lg, st, err := Open(t.TempDir())
 	require.NoError(t, err)
@@ -72,7 +89,7 @@
 	lg, _, err := Open(dir)
 	require.NoError(t, err)
 	replaced := replica.Entry{Index: 3, Term: 2, Kind: replica.EntryNoop}
-	require.NoError(t, lg.Append(nil, []replica.Entry{replaced}))
+	require.NoError(t, lg.Append(nil, []replica.Entry{replaced}, 0))
 	require.NoError(t, lg.Close())
 	lg, st, err := Open(dir)
 	require.NoError(t, err)
@@ -110,7 +127,7 @@
 			info, err := os.Stat(path)
 			require.NoError(t, err)
 			require.Equal(t, lg.Size(), info.Size(), "nothing is left behind the last record")
-			require.NoError(t, lg.Append(nil, entries(uint64(tc.kept)+1, uint64(tc.kept)+1)))
+			require.NoError(t, lg.Append(nil, entries(uint64(tc.kept)+1, uint64(tc.kept)+1), 0))
 			require.NoError(t, lg.Close())
 			lg, st, err = Open(dir)
 			require.NoError(t, err)
@@ -140,7 +157,7 @@
 	require.NoError(t, err)
 	snap := replica.Snapshot{Index: 4, Term: 1, Data: []byte("state")}
 	require.NoError(t, lg.SaveSnapshot(st.Hard, snap, entries(5, 5)))
-	require.NoError(t, lg.Append(nil, entries(6, 6)))
+	require.NoError(t, lg.Append(nil, entries(6, 6), 0))
 	require.NoError(t, lg.Close())
 	lg, st, err = Open(dir)
 	require.NoError(t, err)
@@ -160,7 +177,7 @@
 			defer lg.Close()
 			for ix := 0; b.Loop(); ix++ {
 				first := uint64(ix)*batch + 1
-				require.NoError(b, lg.Append(nil, entries(first, first+batch-1)))
+				require.NoError(b, lg.Append(nil, entries(first, first+batch-1), 0))
 			}
 			b.ReportMetric(float64(b.N)*float64(batch)/b.Elapsed().Seconds(), "entries/s")
 		})
@@ -174,7 +191,7 @@
 			require.NoError(b, Format(dir, false))
 			lg, _, err := Open(dir)
 			require.NoError(b, err)
-			require.NoError(b, lg.Append(nil, entries(1, count)))
+			require.NoError(b, lg.Append(nil, entries(1, count), 0))
 			require.NoError(b, lg.Close())
 			for b.Loop() {
 				lg, st, err := Open(dir)
