--- a/cmd/greengageweir/holder.go
+++ b/cmd/greengageweir/holder.go
@@ -54,8 +54,8 @@
 	Machines weir.MachinePlatform
 	// MachineRate is how many orders a second the platform takes; 0 is any.
 	MachineRate float64
-	Adviser  weir.Adviser
-	Logger   log.Logger
+	Adviser     weir.Adviser
+	Logger      log.Logger
 
 	node    *node.Node
 	roster  *roster.Roster
--- a/internal/job/owner/reconcile_test.go
+++ b/internal/job/owner/reconcile_test.go
@@ -95,10 +95,10 @@
 	ow, re, at, wk := idleWorker(t, st)
 	key := weir.RunKey{Task: spec.Ref{Job: "a"}, Run: 1}
 	re.starting[key] = true
-	ow.reconcile(re, "w0", at, time.Now())
+	ow.reconcile(re, "w0", at, clock.Steady{}.Now())
 	re.planned()
 	require.Never(t, func() bool { return len(wk.stopped()) > 0 }, 50*time.Millisecond, 5*time.Millisecond)
-	ow.reconcile(re, "w0", at, time.Now())
+	ow.reconcile(re, "w0", at, clock.Steady{}.Now())
 	require.Eventually(t, func() bool { return len(wk.stopped()) > 0 }, 10*time.Second, time.Millisecond,
 		"a run that nobody ordered in this reign is stopped by its number")
 }
@@ -116,7 +116,7 @@
 	st = storeWith(t, gang, startAt(0, "w0"), startAt(1, "w1"),
 		store.Change{End: &store.End{Task: second.Task, Run: 1, How: store.EndRefused}})
 	ow, re, at, wk := idleWorker(t, st)
-	ow.reconcile(re, "w0", at, time.Now())
+	ow.reconcile(re, "w0", at, clock.Steady{}.Now())
 	require.Eventually(t, func() bool { return len(wk.stopped()) > 0 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, first, wk.stopped()[0])
 }
