--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 LDFLAGS := -X greengageweir/internal/duty/cli.Version=$(VERSION)
 SEED    ?= 1
 DURATION ?= 60s
+LOAD     ?= small
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test lint fmt unit check-examples soak kill-each measures bench slopes clean
+.PHONY: all build demo test lint fmt unit check-examples soak kill-each measures play bench slopes clean
 
 all: build
 
@@ -48,6 +49,12 @@
 measures: build
 	scripts/measures.sh
 
+# All policies of capacity, three seeds, in simulated time; LOAD is small,
+# smallTrouble, grown or grownTrouble.
+play:
+	mkdir -p out
+	WEIR_PLAY=$(LOAD) WEIR_PLAY_PLOT=$(CURDIR)/out/play-$(LOAD).svg $(GO) test -count=1 -v -run 'TestPlay$$' ./internal/standin/play
+
 bench: build
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 	$(BIN)/weirstandin peaks
--- a/cmd/weirstandin/main.go
+++ b/cmd/weirstandin/main.go
@@ -16,6 +16,7 @@
 		{Name: "load", Short: "Send a mix of bookings and reads and record the answers", Data: &loadCommand{}},
 		{Name: "relay", Short: "Forward between zones, and cut them off on request", Data: &relayCommand{}},
 		{Name: "peaks", Short: "Compare policies for peaks on the real placement", Data: &peaksCommand{}},
+		{Name: "play", Short: "Play a load against the real owner of jobs and a stand-in fleet", Data: &playCommand{}},
 		{Name: "slopes", Short: "Measure how costs grow with size, for docs/CAPACITY.md", Data: &slopesCommand{}},
 		{Name: "verify", Short: "Compare answers and usage with what really ran", Data: &verifyCommand{}},
 	}))
--- a/internal/job/owner/reconcile_test.go
+++ b/internal/job/owner/reconcile_test.go
@@ -18,16 +18,19 @@
 	weir "greengageweir"
 )
 
-// idle is a worker that runs nothing and notes what it is told to stop.
+// idle is a worker that runs only what it is said to, and notes what it is told
+// to stop.
 type idle struct {
 	weir.TaskWorkers
 
+	running []weir.RunningTask
+
 	mu    sync.Mutex
 	stops []weir.RunKey
 }
 
-func (*idle) Renew(context.Context, weir.WorkerLife, weir.RenewOrder) (weir.WorkerReport, error) {
-	return weir.WorkerReport{Clock: time.Hour, Born: 1}, nil
+func (wk *idle) Renew(context.Context, weir.WorkerLife, weir.RenewOrder) (weir.WorkerReport, error) {
+	return weir.WorkerReport{Clock: time.Hour, Born: 1, Running: wk.running}, nil
 }
 
 func (wk *idle) Stop(_ context.Context, _ weir.WorkerLife, key weir.RunKey, _ uint64) (weir.OrderAnswer, error) {
@@ -45,8 +48,8 @@
 
 // idleWorker returns an owner with a session to an idle worker w0 that has
 // reported, and the session's place in the reign.
-func idleWorker(t *testing.T, st *store.Store) (*Owner, *reign, *attended, *idle) {
-	wk := &idle{}
+func idleWorker(t *testing.T, st *store.Store, running ...weir.RunningTask) (*Owner, *reign, *attended, *idle) {
+	wk := &idle{running: running}
 	ow := &Owner{Store: st, Logger: log.NewNopLogger(), wake: make(chan struct{}, 1)}
 	re := &reign{sessions: map[weir.InstanceID]*attended{}, starting: map[weir.RunKey]bool{}, evicted: map[weir.RunKey]bool{}}
 	at := &attended{worker: store.Worker{ID: "w0", Born: 1}}
@@ -115,7 +118,7 @@
 	})
 	st = storeWith(t, gang, startAt(0, "w0"), startAt(1, "w1"),
 		store.Change{End: &store.End{Task: second.Task, Run: 1, How: store.EndRefused}})
-	ow, re, at, wk := idleWorker(t, st)
+	ow, re, at, wk := idleWorker(t, st, weir.RunningTask{RunKey: first})
 	ow.reconcile(re, "w0", at, clock.Steady{}.Now())
 	require.Eventually(t, func() bool { return len(wk.stopped()) > 0 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, first, wk.stopped()[0])
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -11,8 +11,10 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -173,6 +175,33 @@
 	return fl.counted
 }
 
+// View is what can be seen of a machine.
+type View struct {
+	Name   string
+	Pool   weir.PoolName
+	Up     bool
+	Worker weir.InstanceID
+	// Runs is how many tasks run there, on Cores cores.
+	Runs  int
+	Cores float64
+}
+
+// Views returns what can be seen of each machine, by name.
+func (fl *Fleet) Views() []View {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	out := make([]View, 0, len(fl.machines))
+	for _, mc := range fl.machines {
+		vw := View{Name: mc.Name, Pool: mc.Pool, Up: mc.state == weir.MachineUp, Worker: mc.id}
+		if wk := fl.workers[mc.id]; wk != nil {
+			vw.Runs, vw.Cores = len(wk.runs), cores(wk.used)
+		}
+		out = append(out, vw)
+	}
+	slices.SortFunc(out, func(one, other View) int { return cmp.Compare(one.Name, other.Name) })
+	return out
+}
+
 // Crash ends a machine's worker without notice and brings another up later.
 func (fl *Fleet) Crash(name string, away time.Duration) {
 	fl.mu.Lock()
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -9,6 +9,8 @@
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/spec"
 
+	"github.com/pkg/errors"
+
 	weir "greengageweir"
 )
 
@@ -126,6 +128,28 @@
 	return ld
 }
 
+// loads are those that can be named.
+func loads() []Load { return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble()} }
+
+// LoadNames returns the names that LoadByName knows.
+func LoadNames() []string {
+	var names []string
+	for _, ld := range loads() {
+		names = append(names, ld.Name)
+	}
+	return names
+}
+
+// LoadByName returns one of the loads above.
+func LoadByName(name string) (Load, error) {
+	for _, ld := range loads() {
+		if ld.Name == name {
+			return ld, nil
+		}
+	}
+	return Load{}, &Error{Op: "load " + name, Kind: KindLoad, Err: errors.Errorf("known are %v", LoadNames())}
+}
+
 func (ld Load) machines() int {
 	count := ld.Standby
 	for _, po := range ld.Pools {
--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -33,8 +33,13 @@
 // Kind tells the errors of this package apart.
 type Kind string
 
-// KindRefused says that a call of the load itself failed.
-const KindRefused Kind = "call failed"
+// The kinds of errors.
+const (
+	// KindRefused says that a call of the load itself failed.
+	KindRefused Kind = "call failed"
+	KindPlot    Kind = "plot not written"
+	KindLoad    Kind = "load not readable"
+)
 
 // Error is the error type of this package.
 type Error = fault.Error[Kind]
@@ -51,6 +56,8 @@
 	announceEvery = 100 * time.Millisecond
 	// settle is how long calls that are under way at the end take at most.
 	settle = 2 * time.Second
+	// sampleEvery separates looks at the fleet.
+	sampleEvery = 100 * time.Millisecond
 	// lateShare times the objective is when a late answer is of no use.
 	lateShare = 3
 )
@@ -64,8 +71,16 @@
 	PolicyOwner Policy = "owner"
 	// PolicyStatic moves no machine.
 	PolicyStatic Policy = "static"
+	// PolicyReactive follows thresholds of use, one machine a look.
+	PolicyReactive Policy = "reactive"
+	// PolicyKnown knows what will be asked when; it bounds what a forecast can
+	// gain.
+	PolicyKnown Policy = "known"
 )
 
+// Policies are all of them, baselines first.
+func Policies() []Policy { return []Policy{PolicyStatic, PolicyReactive, PolicyOwner, PolicyKnown} }
+
 // Player plays one load. Set the exported fields before Run.
 type Player struct {
 	Load   Load
@@ -105,6 +120,8 @@
 	lengths map[weir.JobID]planned
 	needs   map[weir.JobID][]spec.Step
 
+	samples []Sample
+
 	mu    sync.Mutex
 	began map[weir.JobID]time.Time
 }
@@ -125,7 +142,7 @@
 		wg.Wait()
 		time.Sleep(settle)
 	}()
-	for _, stp := range sg.build() {
+	for _, stp := range sg.build(ctx) {
 		if err := stp.Default(); err != nil {
 			return Result{}, err
 		}
@@ -141,17 +158,17 @@
 }
 
 // build makes the parts of the program that lead, and the fleet.
-func (sg *stage) build() []weir.Step {
+func (sg *stage) build(ctx context.Context) []weir.Step {
 	com := &owner.Committer{Log: &slowLog{machine: sg.store}, Wall: sg.clock}
 	sg.fleet = &fleet.Fleet{
-		Clock: sg.clock, Length: sg.length, Need: sg.need, Began: sg.note, Announce: sg.announce, Standby: standby,
+		Clock: sg.clock, Length: sg.length, Need: sg.need, Began: sg.note, Announce: func(wk store.Worker) { sg.announce(ctx, wk) }, Standby: standby,
 		MoveTime: sg.Load.MoveTime, MaintenanceTime: 2 * time.Second,
 	}
 	own := &owner.Owner{
 		Store: sg.store, Committer: com, Lead: alone{}, Workers: sg.fleet, Clock: sg.clock, Wall: sg.clock, Logger: sg.Logger,
 		Lease: 3 * time.Second, Retention: time.Minute, OrderPause: 3500 * time.Millisecond,
 	}
-	if sg.Policy != PolicyStatic {
+	if sg.Policy == PolicyOwner {
 		own.Machines = sg.fleet
 	}
 	sg.store.Clock = sg.clock
@@ -182,11 +199,11 @@
 }
 
 // announce tells the owner of a worker until it is taken.
-func (sg *stage) announce(wk store.Worker) {
+func (sg *stage) announce(ctx context.Context, wk store.Worker) {
 	ann := &jobapi.Announcement{Worker: wk}
 	go func() {
-		for sg.service.Handle(context.Background(), jobapi.Call{Kind: jobapi.Announce, Worker: ann}).Outcome != jobapi.OK {
-			time.Sleep(announceEvery)
+		for ctx.Err() == nil && sg.call(ctx, jobapi.Call{Kind: jobapi.Announce, Worker: ann}) != nil {
+			sleep(ctx, announceEvery)
 		}
 	}()
 }
@@ -238,6 +255,13 @@
 func (sg *stage) perform(ctx context.Context) {
 	begin := sg.clock.Now()
 	var wg sync.WaitGroup
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	wg.Go(func() { sg.watch(watchCtx, begin) })
+	if sg.Policy == PolicyReactive || sg.Policy == PolicyKnown {
+		bl := &baseline{stage: sg, high: map[weir.PoolName]time.Duration{}}
+		wg.Go(func() { bl.run(watchCtx, begin) })
+	}
 	for _, wv := range sg.Load.Waves {
 		wg.Go(func() { sg.wave(ctx, wv) })
 	}
@@ -249,9 +273,25 @@
 		wg.Go(func() { _ = sg.call(ctx, submission(pd.pool.Name, pd.job)) })
 	}
 	sleep(ctx, sg.Load.Duration+finish-sg.clock.Now().Sub(begin))
+	stop()
 	wg.Wait()
 }
 
+// watch samples the fleet until the context ends.
+func (sg *stage) watch(ctx context.Context, begin time.Time) {
+	for ctx.Err() == nil {
+		sm := Sample{At: sg.clock.Now().Sub(begin)}
+		for _, vw := range sg.fleet.Views() {
+			if vw.Pool != standby {
+				sm.Pooled += sg.Load.Room
+			}
+			sm.Busy += vw.Cores
+		}
+		sg.samples = append(sg.samples, sm)
+		sleep(ctx, sampleEvery)
+	}
+}
+
 func sleep(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/internal/standin/play/play_test.go
+++ b/internal/standin/play/play_test.go
@@ -1,15 +1,20 @@
 package play
 
 import (
+	"bytes"
 	"context"
 	"os"
+	"path/filepath"
 	"testing"
 	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 )
 
-func run(t *testing.T, ld Load, policy Policy, seed int64) Result {
+// simulated plays a load in simulated time.
+func simulated(tb testing.TB, ld Load, policy Policy, seed int64) Result {
+	t, ok := tb.(*testing.T)
+	require.True(tb, ok)
 	var res Result
 	synctest.Test(t, func(t *testing.T) {
 		var err error
@@ -19,16 +24,59 @@
 	return res
 }
 
-func TestSmall(t *testing.T) {
+// TestOwnerServesAPeakThatMachinesWhereTheyAreCannot plays four pools that
+// peak in turn, a wave over half of the machines and two crashes.
+func TestOwnerServesAPeakThatMachinesWhereTheyAreCannot(t *testing.T) {
+	ld := Small().WithTrouble()
+	fixed := simulated(t, ld, PolicyStatic, 1)
+	moved := simulated(t, ld, PolicyOwner, 1)
+	require.Greater(t, moved.InTime, fixed.InTime, "more callers get their job in time")
+	require.Greater(t, moved.Worth(), fixed.Worth(), "also when machines and moves are paid for")
+	require.InDelta(t, 1, moved.WaveDone, 0, "maintenance is done")
+	require.Zero(t, moved.Counts.Refused, "no start finds a worker full")
+
+	path := filepath.Join(t.TempDir(), "play.svg")
+	require.NoError(t, Plot(path, []Result{fixed, moved}))
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.NotZero(t, info.Size())
+	var table bytes.Buffer
+	require.NoError(t, Print(&table, []Result{fixed, moved}))
+	require.Contains(t, table.String(), "smallTrouble")
+	require.Error(t, Plot(filepath.Join(t.TempDir(), "play.txt"), []Result{fixed}), "no such format")
+}
+
+func TestLoads(t *testing.T) {
+	for _, name := range LoadNames() {
+		ld, err := LoadByName(name)
+		require.NoError(t, err)
+		require.Equal(t, name, ld.Name)
+		require.Equal(t, ld.draw(7), ld.draw(7), "a seed draws the same jobs")
+		require.NotEmpty(t, ld.draw(7))
+	}
+	_, err := LoadByName("none")
+	require.Error(t, err)
+	require.Equal(t, 48, Small().machines())
+	require.Equal(t, 349, Grown().machines())
+}
+
+// TestPlay prints the table of all policies for the load that WEIR_PLAY names,
+// in simulated time, and writes WEIR_PLAY_PLOT where that is set.
+func TestPlay(t *testing.T) {
+	name := os.Getenv("WEIR_PLAY")
+	if name == "" {
+		t.Skip("WEIR_PLAY names no load; see make play")
+	}
+	ld, err := LoadByName(name)
+	require.NoError(t, err)
 	var results []Result
-	for _, ld := range []Load{Small(), Small().WithTrouble()} {
-		for _, policy := range []Policy{PolicyStatic, PolicyOwner} {
-			results = append(results, run(t, ld, policy, 1))
+	for _, policy := range Policies() {
+		for seed := range int64(3) {
+			results = append(results, simulated(t, ld, policy, seed+1))
 		}
 	}
 	require.NoError(t, Print(os.Stdout, results))
-}
-
-func TestGrown(t *testing.T) {
-	require.NoError(t, Print(os.Stdout, []Result{run(t, Grown().WithTrouble(), PolicyOwner, 1)}))
+	if path := os.Getenv("WEIR_PLAY_PLOT"); path != "" {
+		require.NoError(t, Plot(path, []Result{results[0], results[6], results[9]}))
+	}
 }
--- /dev/null
+++ b/internal/standin/play/plot.go
@@ -0,0 +1,52 @@
+package play
+
+import (
+	"fmt"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// Plot writes a file with the cores of machines in pools and of tasks at work
+// over time, a line for each result; the file's name ends in .svg or .png.
+func Plot(path string, results []Result) error {
+	pt := plot.New()
+	pt.Title.Text = "machines in pools and tasks at work"
+	pt.X.Label.Text, pt.Y.Label.Text = "seconds", "cores"
+	pt.Legend.Top = true
+	for ix, rs := range results {
+		pooled, busy := make(plotter.XYs, len(rs.Samples)), make(plotter.XYs, len(rs.Samples))
+		for at, sm := range rs.Samples {
+			pooled[at] = plotter.XY{X: seconds(sm.At), Y: sm.Pooled}
+			busy[at] = plotter.XY{X: seconds(sm.At), Y: sm.Busy}
+		}
+		for _, series := range []struct {
+			name   string
+			points plotter.XYs
+			dashes []vg.Length
+		}{{"pooled", pooled, plotutil.Dashes(1)}, {"at work", busy, nil}} {
+			line, err := plotter.NewLine(series.points)
+			if err != nil {
+				return &Error{Op: "plot", Kind: KindPlot, Err: err}
+			}
+			line.Color, line.Dashes = plotutil.Color(ix), series.dashes
+			pt.Add(line)
+			pt.Legend.Add(fmt.Sprintf("%s %s, seed %d: %s", rs.Load, rs.Policy, rs.Seed, series.name), line)
+		}
+	}
+	if err := pt.Save(plotWidth, plotHeight, path); err != nil {
+		return &Error{Op: "plot " + path, Kind: KindPlot, Err: err}
+	}
+	return nil
+}
+
+func seconds(span time.Duration) float64 { return span.Seconds() }
--- a/internal/standin/play/result.go
+++ b/internal/standin/play/result.go
@@ -43,6 +43,14 @@
 	// WaveDone is the share of wave machines whose maintenance began in time.
 	WaveDone float64
 	Counts   fleet.Counts
+	Samples  []Sample
+}
+
+// Sample is the fleet at one time: the cores of machines in pools, and those
+// that tasks use.
+type Sample struct {
+	At           time.Duration
+	Pooled, Busy float64
 }
 
 // Worth is what was earned less its price.
@@ -122,7 +130,7 @@
 func (sg *stage) cost(res *Result, before, after fleet.Counts) {
 	span := (sg.Load.Duration + finish).Seconds()
 	pool := after.PoolTime - before.PoolTime
-	res.Counts = after
+	res.Counts, res.Samples = after, sg.samples
 	res.Moves = after.Moves - before.Moves
 	res.Machines = pool.Seconds() / span
 	res.Idle = res.Machines - (after.Busy-before.Busy)/sg.Load.Room/span
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -9,11 +9,21 @@
 	weir "greengageweir"
 )
 
-// renew sends one renewal and takes its answer. It reports whether the next
-// one may follow at once.
+// renew sends one renewal, takes its answer and waits until its ends are
+// recorded. It reports whether the next one may follow at once.
 func (ss *Session) renew(ctx context.Context) bool {
+	answered, fresh := ss.renewOnce(ctx)
+	if fresh {
+		ss.awaitRecorded(ctx)
+	}
+	return answered
+}
+
+// renewOnce sends one renewal and takes its answer; fresh says that it listed
+// new ends.
+func (ss *Session) renewOnce(ctx context.Context) (answered, fresh bool) {
 	if !ss.Leads.Leads() {
-		return false
+		return false, false
 	}
 	ss.mu.Lock()
 	sentAt := ss.Clock.Now()
@@ -32,20 +42,17 @@
 	defer cancel()
 	rep, err := ss.Workers.Renew(callCtx, ss.Life, order)
 	if ctx.Err() != nil {
-		return false
+		return false, false
 	}
 	if err != nil {
 		ss.renewFailed(err)
-		return false
+		return false, false
 	}
-	fresh := ss.takeReport(sentAt, rep)
-	if fresh {
-		ss.Changed()
-		ss.awaitRecorded(ctx)
-	} else if first {
+	fresh = ss.takeReport(sentAt, rep)
+	if fresh || first {
 		ss.Changed()
 	}
-	return true
+	return true, fresh
 }
 
 // look asks for a report at once, while a renewal may still wait for an end.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,7 +62,22 @@
 mutant silent-worker-gets-no-lease $SS/reports.go 's/if first || !ss.failingAt.IsZero() {/if first {/' ./$SS
 mutant overtaken-answers $SS/decide.go 's/case after(rn.listedAt), /case !rn.listedAt.IsZero(), /' ./$SS
 mutant report-before-verdict $SS/decide.go 's/if last.sentAt.IsZero() {/if false {/' ./$SS
-mutant ends-until-recorded $SS/session.go 's/ss.taken = ss.recorded$/_ = 0/' ./$SS
+mutant ends-until-recorded $SS/session.go '/^func (ss \*Session) NotRecorded/,/^}/s/ss.recording = false/ss.recording = true/' ./$SS
+mutant ends-in-order $SS/session.go 's/if ss.recording {/if false {/' ./$SS
+mutant verdict-once $SS/session.go 's/if ss.recording \&\& (vd ==/if false \&\& (vd ==/' ./$SS
+mutant unanswered-start-is-stopped $SS/decide.go 's/case rn.answered.IsZero() \&\& !rn.sentAt.IsZero() \&\& now.Sub(rn.sentAt) < 2\*orderTimeout:/case false:/; s/\tdefault:\n\t\treturn verdictStop/\tdefault:\n\t\treturn verdictLost/' ./$SS
+mutant lost-only-after-stop $SS/decide.go 's/case after(rn.stopAcked):/case !rn.stopSent.IsZero():/' ./$SS
+mutant lease-on-slow-clock $SS/session.go 's|/clockSlack) + lapseMargin|) - 50*time.Millisecond|' ./$SS
+mutant inherited-lease-lapses-later $SS/session.go 's/ss.lapsesBy = ss.LapsesBy/_ = 0/' ./$SS
+mutant start-under-way-is-no-unknown-run internal/job/owner/owner.go 's/if re.starting\[key\] {/if false {/' ./internal/job/owner
+mutant gang-is-whole internal/job/owner/owner.go 's/ \&\& js.Whole(key)//' ./internal/job/owner
+mutant gang-ends-once internal/job/store/store.go 's/case tk.Done:/case false:/' ./internal/job/store
+mutant late-word-of-a-worker internal/job/store/workers.go 's/old.Sequence > wk.Sequence/false/' ./internal/job/store
+mutant lasting-tasks-wait internal/schedule/plan/plan.go 's/gr.crowds(on\[wk.ID\]) \&\& tk.waits(now)/false/' ./internal/schedule/plan
+mutant machines-at-the-platforms-rate internal/job/owner/maintain.go 's/ || !md.limit.AllowN(now, 1)//' ./internal/job/owner
+mutant applies-in-parts $R/core.go 's/, co.applied+maxApply)/)/' ./$R
+mutant commit-within-the-log $R/core.go 's/min(index, co.log.last())/index/' ./$R
+mutant cut-off-follower-asks internal/job/service/service.go 's/return leader != "" \&\& leader != sv.Self/return leader != sv.Self/' ./internal/job/service
 mutant given-up-is-reset internal/link/httpconn/httpconn.go 's/_ = tcp.SetLinger(0)/_ = tcp/' ./internal/link/httpconn
 mutant least-work-first internal/schedule/plan/plan.go 's/cmp.Compare(one.Work, other.Work),//' ./internal/schedule/plan
 mutant torn-tail-is-cut internal/state/wal/wal.go 's/lg.file.Truncate(lg.size)/lg.file.Truncate(info.Size())/' ./internal/state/wal
@@ -87,7 +102,7 @@
 mutant consent-needs-seen-view internal/entry/place/announce.go 's/ || wk.seen < mem.Since//' ./internal/entry/place
 mutant half-ejected-at-most internal/entry/place/table.go 's/return 2\*(ejected+1) <= len(sq.workers)/return true/' ./internal/entry/place
 mutant unproven-connection internal/link/httpconn/httpconn.go 's/maxAge := ProofAge/maxAge := idleAge/' ./internal/link/httpconn
-mutant answer-needs-length internal/link/httpconn/httpconn.go 's/raw.ContentLength < 0 \&\& len(raw.TransferEncoding) == 0/false/' ./internal/link/httpconn
+mutant answer-needs-length internal/link/httpconn/httpconn.go 's/raw.Header.ContentLength() == noLength/false/' ./internal/link/httpconn
 mutant broken-is-not-retried internal/entry/dispatch/dispatch.go 's/if !req.Repeatable || ans.Kind != weir.Unknown {/if ans.Kind != weir.Unknown {/' ./internal/entry/dispatch
 mutant view-never-reverts internal/fleet/view/view.go 's/if eff.Index <= vw.Index {/if false {/' ./internal/control/hub ./internal/fleet/...
 mutant effects-are-chained internal/fleet/view/view.go 's/if eff.After != vw.Index {/if false {/' ./internal/control/hub ./internal/fleet/...
