fix: a late answer about a machine ends only the life that was ordered away

Cause: an order that was answered after more than 0.4 s was sent again before the answer was recorded; its own answer came when the machine's next worker had tasks already, and these were taken for lost and started elsewhere. Change: the intent names the life that the operation ends, and only that life is ended by the answer; an order counts as under way until its answer is recorded.

--- a/internal/job/owner/balance.go
+++ b/internal/job/owner/balance.go
@@ -98,7 +98,7 @@
 		_ = ow.Logger.Log("level", "info", "msg", "machine moves", "machine", mv.Machine, "to", mv.To, "have", have[mv.To],
 			"busy", ld.Busy, "waiting", ld.Waiting, "rate", ld.Rate, "lasting", ld.Lasting)
 		md.asked[mv.Machine] = time.Time{}
-		ow.intend(re, store.MachineOperation{Machine: mv.Machine, Pool: mv.To})
+		ow.intend(re, store.MachineOperation{Machine: mv.Machine, Pool: mv.To}, byMachine[mv.Machine])
 	}
 }
 
--- a/internal/job/owner/maintain.go
+++ b/internal/job/owner/maintain.go
@@ -179,10 +179,11 @@
 	return orders
 }
 
-// intend commits that a machine is to be ordered about; the order follows once
-// the state says so.
-func (ow *Owner) intend(re *reign, op store.MachineOperation) {
+// intend commits that a machine is to be ordered about, which ends its present
+// worker; the order follows once the state says so.
+func (ow *Owner) intend(re *reign, op store.MachineOperation, wk store.Worker) {
 	md := re.machines
+	op.Worker, op.Born = wk.ID, wk.Born
 	md.intent[op.Machine] = true
 	md.mine[op.Machine] = true
 	done := func([]store.Answer, error) {
@@ -256,8 +257,8 @@
 func (ow *Owner) machineDone(re *reign, order weir.MachineOrder, op *store.MachineOperation) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	delete(re.machines.busy, order.Machine)
 	if op == nil || ow.reign != re {
+		delete(re.machines.busy, order.Machine)
 		return
 	}
 	changes := []store.Change{{Machine: op}}
@@ -266,16 +267,33 @@
 		if order.Pool != "" {
 			re.machines.sent[order.Machine] = sentTo{pool: order.Pool, at: ow.Clock.Now()}
 		}
-		ow.Store.Read(func(rd store.Reader) {
-			rd.EachWorker(func(wk store.Worker) {
-				if wk.Machine == order.Machine {
-					re.machines.gone[order.Machine] = wk.Born
-					changes = append(changes, ow.leave(re, rd, wk, "machine ordered away")...)
-				}
-			})
-		})
+		ow.Store.Read(func(rd store.Reader) { changes = append(changes, ow.orderedAway(re, rd, order.Machine)...) })
+	}
+	// Until this is recorded the order would be sent again.
+	recorded := func([]store.Answer, error) {
+		ow.mu.Lock()
+		delete(re.machines.busy, order.Machine)
+		ow.mu.Unlock()
+		ow.Wake()
 	}
-	if !ow.Committer.Submit(changes, func([]store.Answer, error) {}) {
+	if !ow.Committer.Submit(changes, recorded) {
+		delete(re.machines.busy, order.Machine)
 		_ = ow.Logger.Log("level", "warn", "msg", "operation not recorded", "machine", order.Machine)
 	}
 }
+
+// orderedAway returns the changes that end the life for which an operation was
+// meant. The machine may run a later one already, where an earlier order was
+// carried out without an answer; that one goes on.
+func (ow *Owner) orderedAway(re *reign, rd store.Reader, machine string) []store.Change {
+	op, ok := rd.Order(machine)
+	if !ok || op.Worker == "" {
+		return nil
+	}
+	re.machines.gone[machine] = op.Born
+	wk, ok := rd.Worker(op.Worker)
+	if !ok || wk.Born != op.Born {
+		return nil
+	}
+	return ow.leave(re, rd, wk, "machine ordered away")
+}
--- a/internal/job/owner/wave.go
+++ b/internal/job/owner/wave.go
@@ -141,7 +141,8 @@
 		op := store.MachineOperation{Machine: ca.machine, Wave: wv.Number}
 		_ = ow.Logger.Log("level", "info", "msg", "maintenance begins", "machine", ca.machine, "worker", ca.worker,
 			"wave", wv.Number, "runs", ca.work, "lasting", ca.lasting)
-		ow.intend(re, op)
+		wk, _ := rd.Worker(ca.worker)
+		ow.intend(re, op, wk)
 	}
 }
 
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -126,8 +126,11 @@
 type MachineOperation struct {
 	Machine string `json:"machine"`
 	// Wave is set for maintenance, Pool for a move.
-	Wave  int64         `json:"wave,omitempty"`
-	Pool  weir.PoolName `json:"pool,omitempty"`
+	Wave int64         `json:"wave,omitempty"`
+	Pool weir.PoolName `json:"pool,omitempty"`
+	// Worker and Born name the life that the operation ends.
+	Worker weir.InstanceID `json:"worker,omitempty"`
+	Born   int64           `json:"born,omitempty"`
 	Begun bool          `json:"begun,omitempty"`
 	// Void says that the platform certainly did not and will not do it.
 	Void bool `json:"void,omitempty"`
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -75,6 +75,8 @@
 mutant late-word-of-a-worker internal/job/store/workers.go 's/old.Sequence > wk.Sequence/false/' ./internal/job/store
 mutant lasting-tasks-wait internal/schedule/plan/plan.go 's/gr.crowds(on\[wk.ID\]) \&\& tk.waits(now)/false/' ./internal/schedule/plan
 mutant machines-at-the-platforms-rate internal/job/owner/maintain.go 's/ || !md.limit.AllowN(now, 1)//' ./internal/job/owner
+mutant only-the-life-ordered-away $J/owner/maintain.go 's/if !ok || wk.Born != op.Born {/wk, ok = rd.Worker("w2"); if !ok {/' ./$J/owner
+mutant answered-order-is-not-repeated $J/owner/maintain.go 's/changes := \[\]store.Change{{Machine: op}}/delete(re.machines.busy, order.Machine); &/' ./$J/owner
 mutant applies-in-parts $R/core.go 's/, co.applied+maxApply)/)/' ./$R
 mutant commit-within-the-log $R/core.go 's/min(index, co.log.last())/index/' ./$R
 mutant cut-off-follower-asks internal/job/service/service.go 's/return leader != "" \&\& leader != sv.Self/return leader != sv.Self/' ./internal/job/service
