--- a/internal/link/httpconn/httpconn.go
+++ b/internal/link/httpconn/httpconn.go
@@ -88,9 +88,14 @@
 	clk   weir.Clock
 	limit chan struct{}
 
+	// all are the pools that share a budget of connections; nil has none.
+	all *Pools
+
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
+	// open counts the pool's connections, idle or in use.
+	open int
 }
 
 // conn is one connection; provenAt is when it last gave a whole answer.
@@ -126,7 +131,7 @@
 	defer pl.mu.Unlock()
 	pl.closed = true
 	for _, cn := range pl.idle {
-		_ = cn.Close()
+		pl.drop(cn)
 	}
 	pl.idle = nil
 }
@@ -145,7 +150,9 @@
 	}
 	resp, reusable, err := pl.exchange(ctx, cn, req)
 	if err != nil || !reusable {
-		_ = cn.Close()
+		pl.mu.Lock()
+		pl.drop(cn)
+		pl.mu.Unlock()
 		return resp, err
 	}
 	pl.give(cn)
@@ -167,7 +174,7 @@
 			pl.mu.Unlock()
 			return cn, nil
 		}
-		_ = cn.Close()
+		pl.drop(cn)
 	}
 	pl.mu.Unlock()
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -175,6 +182,12 @@
 	if err != nil {
 		return nil, err
 	}
+	pl.mu.Lock()
+	pl.open++
+	pl.mu.Unlock()
+	if pl.all != nil {
+		pl.all.open.Add(1)
+	}
 	sent := &countingWriter{wr: raw}
 	return &conn{Conn: raw, rd: bufio.NewReaderSize(raw, bufferBytes), wr: bufio.NewWriterSize(sent, bufferBytes), sent: sent}, nil
 }
@@ -183,13 +196,23 @@
 	cn.provenAt = pl.clk.Now()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if pl.closed {
-		_ = cn.Close()
+	crowded := pl.all != nil && pl.open > 1 && pl.all.open.Load() > pl.all.budget
+	if pl.closed || crowded {
+		pl.drop(cn)
 		return
 	}
 	pl.idle = append(pl.idle, cn)
 }
 
+// drop closes a connection. It runs with the lock held.
+func (pl *Pool) drop(cn *conn) {
+	_ = cn.Close()
+	pl.open--
+	if pl.all != nil {
+		pl.all.open.Add(-1)
+	}
+}
+
 // exchange writes the request and reads the answer. The connection is closed
 // when the context ends, which frees a call on a silent connection.
 func (pl *Pool) exchange(ctx context.Context, cn *conn, req Request) (*Response, bool, error) {
--- a/internal/link/httpconn/httpconn_test.go
+++ b/internal/link/httpconn/httpconn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -210,3 +211,36 @@
 	}
 	require.Equal(t, int32(1), conns.Load())
 }
+
+// TestManyAddressesKeepOneConnectionEach plays a fleet whose workers are more
+// than the descriptors would allow two connections to.
+func TestManyAddressesKeepOneConnectionEach(t *testing.T) {
+	ps := NewPools(4, clock.System{})
+	ps.budget = 3
+	gate := make(chan struct{})
+	var addrs []string
+	for range 3 {
+		addr, _ := scripted(t, func(conn net.Conn, rd *bufio.Reader) {
+			for readRequest(rd) {
+				<-gate
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		addrs = append(addrs, addr)
+	}
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		for range 3 {
+			wg.Go(func() { _, _ = ps.Get(addr).Do(context.Background(), booking) })
+		}
+	}
+	require.Eventually(t, func() bool { return ps.open.Load() == 9 }, 10*time.Second, time.Millisecond)
+	close(gate)
+	wg.Wait()
+	require.Equal(t, int64(3), ps.open.Load(), "the others are closed once they are idle")
+	for _, addr := range addrs {
+		require.Equal(t, 1, ps.Get(addr).open)
+		ps.Forget(addr)
+	}
+	require.Zero(t, ps.open.Load())
+}
