--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 lint: $(BIN)/tools/golangci-lint
 	$(BIN)/tools/golangci-lint run ./...
 	$(BIN)/tools/golangci-lint fmt --diff
-	bash -n scripts/*.sh
+	bash -n scripts/*.sh deploy/*.sh
 
 fmt: $(BIN)/tools/golangci-lint
 	$(BIN)/tools/golangci-lint fmt
--- a/internal/job/service/service.go
+++ b/internal/job/service/service.go
@@ -78,16 +78,14 @@
 }
 
 func (sv *Service) handle(ctx context.Context, call jobapi.Call) jobapi.Reply {
-	if call.Kind == jobapi.Announce && call.Hops == 0 && sv.follows() {
-		// The leader has enough to do; a follower knows what it has committed.
-		if sv.known(*call.Worker) {
-			return jobapi.Reply{Outcome: jobapi.OK, AnnounceTo: sv.Self}
-		}
+	// A follower knows what it has committed, which spares the leader a call.
+	if call.Kind == jobapi.Announce && call.Hops == 0 && sv.follows() && sv.known(*call.Worker) {
+		return jobapi.Reply{Outcome: jobapi.OK, AnnounceTo: sv.Self}
 	}
 	if rep, done := sv.packed(&call); done {
 		return rep
 	}
-	rep := sv.place(ctx, call)
+	rep := sv.dispatch(ctx, call)
 	if call.Kind == jobapi.GetCatalog && call.Hops == 0 {
 		return sv.unpacked(rep)
 	}
@@ -113,8 +111,8 @@
 	return known
 }
 
-// place answers a call as the leader, or passes it on to the one that leads.
-func (sv *Service) place(ctx context.Context, call jobapi.Call) jobapi.Reply {
+// dispatch answers a call as the leader, or passes it on to the one that leads.
+func (sv *Service) dispatch(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	until := sv.Clock.Now().Add(leaderWait)
 	for {
 		if sv.Owner.Ready() {
