--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -117,6 +117,7 @@
 	service *service.Service
 	fleet   *fleet.Fleet
 	jobs    []planned
+	// lengths and needs are complete before anything runs.
 	lengths map[weir.JobID]planned
 	needs   map[weir.JobID][]spec.Step
 
@@ -135,6 +136,11 @@
 	for _, pd := range sg.jobs {
 		sg.lengths[pd.job.ID], sg.needs[pd.job.ID] = pd, pd.job.Steps
 	}
+	for _, po := range pl.Load.Pools {
+		for _, jb := range po.lasting() {
+			sg.needs[jb.ID] = jb.Steps
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer func() {
@@ -230,7 +236,6 @@
 	add(standby, sg.Load.Standby)
 	for _, po := range sg.Load.Pools {
 		for _, jb := range po.lasting() {
-			sg.needs[jb.ID] = jb.Steps
 			if err := sg.call(ctx, submission(po.Name, jb)); err != nil {
 				return err
 			}
