refactor: one stand-in of a task worker; harnesses default all steps before any runs

Cause: the fleet of the model repeated what the stand-in worker does: starts, stops, ends, checkpoints, renewals that wait. Two harnesses started each step after its own Default, where run.Defaults prepares all of them first; since a member applies its log before an election, the race detector saw that in TestRestartKeepsJobsAndRunsNothingTwice, once. Ruled out: the product: run.All prepares all steps before it starts any.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 # smallTrouble, grown or grownTrouble.
 play:
 	mkdir -p out
-	WEIR_PLAY=$(LOAD) WEIR_PLAY_PLOT=$(CURDIR)/out/play-$(LOAD).svg $(GO) test -count=1 -v -run 'TestPlay$$' ./internal/standin/play
+	WEIR_PLAY=$(LOAD) WEIR_PLAY_PLOT=$(CURDIR)/out/play-$(LOAD).svg $(GO) test -tags play -count=1 -v -run 'TestPlay$$' ./internal/standin/play
 
 bench: build
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/internal/job/service/service_test.go
+++ b/internal/job/service/service_test.go
@@ -19,6 +19,7 @@
 	"greengageweir/internal/contract/taskapi"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/duty/run"
 	"greengageweir/internal/job/owner"
 	"greengageweir/internal/job/service"
 	"greengageweir/internal/job/spec"
@@ -96,8 +97,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, stp := range []weir.Step{lks, nod, com, own} {
-		require.NoError(sy.t, stp.Default())
+	steps := []weir.Step{lks, nod, com, own}
+	require.NoError(sy.t, run.Defaults(steps...))
+	for _, stp := range steps {
 		wg.Go(func() { _ = stp.Run(ctx) })
 	}
 	srv := httptest.NewServer(jobhttp.Routes(svc, wall))
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -5,7 +5,7 @@
 //
 // Usage:
 //
-//	fl := &fleet.Fleet{Clock: clk, Length: ld.Length, Announce: announce, MoveTime: time.Second}
+//	fl := &fleet.Fleet{Clock: clk, Task: task, Announce: announce, MoveTime: time.Second}
 //	fl.Add(fleet.Machine{Name: "m1", Pool: "desk", Rack: "r1", Room: room})
 //	own := &owner.Owner{Workers: fl, Machines: fl, ...}
 package fleet
@@ -16,11 +16,13 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengageweir/internal/duty/fault"
 	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
+	"greengageweir/internal/standin/taskworker"
 
 	weir "greengageweir"
 )
@@ -37,10 +39,6 @@
 const (
 	// oneWay is how long a message takes in each direction.
 	oneWay = 500 * time.Microsecond
-	// startup is how long a lasting task takes until it is at work.
-	startup = 700 * time.Millisecond
-	// full is the percent of a task that is done, or at work.
-	full = 100
 )
 
 // Machine is one machine of the fleet.
@@ -54,12 +52,8 @@
 // Fleet is a set of machines. Set the exported fields before use.
 type Fleet struct {
 	Clock weir.Clock
-	// Length is how long a run of a task takes; false is a task that lasts.
-	Length func(task weir.TaskRef) (time.Duration, bool)
-	// Need is what a task takes of its worker.
-	Need func(task weir.TaskRef) spec.Need
-	// Began tells that a run has begun; it may be nil and must not block.
-	Began func(task weir.TaskRef, at time.Time)
+	// Task tells what a run does when it begins; it must not block.
+	Task func(order weir.RunOrder) taskworker.Task
 	// Announce tells of a worker that has come up.
 	Announce func(wk store.Worker)
 	// Standby names the pool whose machines are off.
@@ -68,18 +62,22 @@
 	MoveTime        time.Duration
 	MaintenanceTime time.Duration
 
+	refused atomic.Int64
+
 	mu       sync.Mutex
 	machines map[string]*machine
-	workers  map[weir.InstanceID]*worker
-	counted  Counts
-	sampled  time.Time
+	workers  map[weir.InstanceID]*taskworker.Worker
+	// counted holds what is over: the work of workers that are gone, and the
+	// time in pools until sampled.
+	counted Counts
+	sampled time.Time
 }
 
 // Counts is what was seen of the fleet.
 type Counts struct {
-	// Started counts runs, Refused starts that found no room, Moves the
-	// machines that changed their pool.
-	Started, Refused, Moves int
+	// Refused counts starts that found no room, Moves the machines that changed
+	// their pool.
+	Refused, Moves int
 	// Lost counts runs that ended with their machine, and LostWork what they
 	// had done, in core-seconds.
 	Lost     int
@@ -101,7 +99,7 @@
 func (fl *Fleet) Add(mc Machine) {
 	fl.mu.Lock()
 	if fl.machines == nil {
-		fl.machines, fl.workers = map[string]*machine{}, map[weir.InstanceID]*worker{}
+		fl.machines, fl.workers = map[string]*machine{}, map[weir.InstanceID]*taskworker.Worker{}
 		fl.sampled = fl.Clock.Now()
 	}
 	one := &machine{Machine: mc}
@@ -122,9 +120,7 @@
 	mc.life++
 	now := fl.Clock.Now()
 	mc.id = weir.InstanceID(fmt.Sprintf("%s-%d", mc.Name, mc.life))
-	fl.workers[mc.id] = &worker{
-		fleet: fl, machine: mc, origin: now, runs: map[weir.RunKey]*run{}, last: map[weir.TaskRef]int{}, ended: make(chan struct{}),
-	}
+	fl.workers[mc.id] = &taskworker.Worker{ID: mc.id, Born: now.UnixMilli(), Clock: fl.Clock, Task: fl.Task, Room: mc.Room}
 	wk := store.Worker{
 		ID: mc.id, Born: now.UnixMilli(), Machine: mc.Name, Pool: mc.Pool, Address: string(mc.id), Rack: mc.Rack, Room: mc.Room,
 	}
@@ -140,19 +136,15 @@
 	if wk == nil {
 		return
 	}
-	for key, rn := range wk.runs {
-		rn.timer.Stop()
-		fl.counted.Lost++
-		fl.counted.LostWork += rn.worked(fl.Clock.Now()).Seconds() * cores(rn.need)
-		delete(wk.runs, key)
-	}
-	wk.gone = true
-	close(wk.ended)
+	us := wk.Usage()
+	wk.Kill()
+	fl.counted.Lost += us.Runs
+	fl.counted.LostWork += us.Running
+	fl.counted.Busy += us.Worked
 }
 
-func cores(nd spec.Need) float64 { return float64(nd.MilliCPU) / 1000 }
-
-// sample adds the time since the last change to the counts. The lock is held.
+// sample adds the time since the last change of pools to the counts. The lock
+// is held.
 func (fl *Fleet) sample() {
 	now := fl.Clock.Now()
 	span := now.Sub(fl.sampled)
@@ -162,9 +154,6 @@
 			fl.counted.PoolTime += span
 		}
 	}
-	for _, wk := range fl.workers {
-		fl.counted.Busy += cores(wk.used) * span.Seconds()
-	}
 }
 
 // Counts returns what was seen so far.
@@ -172,7 +161,12 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.sample()
-	return fl.counted
+	out := fl.counted
+	out.Refused = int(fl.refused.Load())
+	for _, wk := range fl.workers {
+		out.Busy += wk.Usage().Worked
+	}
+	return out
 }
 
 // View is what can be seen of a machine.
@@ -194,7 +188,8 @@
 	for _, mc := range fl.machines {
 		vw := View{Name: mc.Name, Pool: mc.Pool, Up: mc.state == weir.MachineUp, Worker: mc.id}
 		if wk := fl.workers[mc.id]; wk != nil {
-			vw.Runs, vw.Cores = len(wk.runs), cores(wk.used)
+			us := wk.Usage()
+			vw.Runs, vw.Cores = us.Runs, us.Cores
 		}
 		out = append(out, vw)
 	}
--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -18,11 +18,13 @@
 	"greengageweir/internal/contract/jobapi"
 	"greengageweir/internal/duty/clock"
 	"greengageweir/internal/duty/fault"
+	"greengageweir/internal/duty/run"
 	"greengageweir/internal/job/owner"
 	"greengageweir/internal/job/service"
 	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
 	"greengageweir/internal/standin/fleet"
+	"greengageweir/internal/standin/taskworker"
 
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
@@ -148,10 +150,11 @@
 		wg.Wait()
 		time.Sleep(settle)
 	}()
-	for _, stp := range sg.build(ctx) {
-		if err := stp.Default(); err != nil {
-			return Result{}, err
-		}
+	steps := sg.build(ctx)
+	if err := run.Defaults(steps...); err != nil {
+		return Result{}, err
+	}
+	for _, stp := range steps {
 		wg.Go(func() { _ = stp.Run(ctx) })
 	}
 	if err := sg.prepare(ctx); err != nil {
@@ -167,7 +170,7 @@
 func (sg *stage) build(ctx context.Context) []weir.Step {
 	com := &owner.Committer{Log: &slowLog{machine: sg.store}, Wall: sg.clock}
 	sg.fleet = &fleet.Fleet{
-		Clock: sg.clock, Length: sg.length, Need: sg.need, Began: sg.note, Announce: func(wk store.Worker) { sg.announce(ctx, wk) }, Standby: standby,
+		Clock: sg.clock, Task: sg.task, Announce: func(wk store.Worker) { sg.announce(ctx, wk) }, Standby: standby,
 		MoveTime: sg.Load.MoveTime, MaintenanceTime: 2 * time.Second,
 	}
 	own := &owner.Owner{
@@ -185,16 +188,16 @@
 	return []weir.Step{com, own}
 }
 
-func (sg *stage) length(task weir.TaskRef) (time.Duration, bool) {
-	pd, ok := sg.lengths[task.Job]
-	if !ok {
-		return 0, false
+// task tells what a run does, and notes when its job began.
+func (sg *stage) task(order weir.RunOrder) taskworker.Task {
+	sg.note(order.Task, sg.clock.Now())
+	out := taskworker.Task{Need: sg.needs[order.Task.Job][order.Task.Step].Counted(), Lasts: true}
+	if pd, ok := sg.lengths[order.Task.Job]; ok {
+		out.Length, out.Lasts = pd.lengths[order.Task.Step][order.Task.Index], false
 	}
-	return pd.lengths[task.Step][task.Index], true
+	return out
 }
 
-func (sg *stage) need(task weir.TaskRef) spec.Need { return sg.needs[task.Job][task.Step].Counted() }
-
 // note keeps when a job began.
 func (sg *stage) note(task weir.TaskRef, at time.Time) {
 	sg.mu.Lock()
--- a/internal/standin/play/play_test.go
+++ b/internal/standin/play/play_test.go
@@ -59,24 +59,3 @@
 	require.Equal(t, 48, Small().machines())
 	require.Equal(t, 349, Grown().machines())
 }
-
-// TestPlay prints the table of all policies for the load that WEIR_PLAY names,
-// in simulated time, and writes WEIR_PLAY_PLOT where that is set.
-func TestPlay(t *testing.T) {
-	name := os.Getenv("WEIR_PLAY")
-	if name == "" {
-		t.Skip("WEIR_PLAY names no load; see make play")
-	}
-	ld, err := LoadByName(name)
-	require.NoError(t, err)
-	var results []Result
-	for _, policy := range Policies() {
-		for seed := range int64(3) {
-			results = append(results, simulated(t, ld, policy, seed+1))
-		}
-	}
-	require.NoError(t, Print(os.Stdout, results))
-	if path := os.Getenv("WEIR_PLAY_PLOT"); path != "" {
-		require.NoError(t, Plot(path, []Result{results[0], results[6], results[9]}))
-	}
-}
--- a/internal/standin/play/plot.go
+++ b/internal/standin/play/plot.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -26,8 +25,8 @@
 	for ix, rs := range results {
 		pooled, busy := make(plotter.XYs, len(rs.Samples)), make(plotter.XYs, len(rs.Samples))
 		for at, sm := range rs.Samples {
-			pooled[at] = plotter.XY{X: seconds(sm.At), Y: sm.Pooled}
-			busy[at] = plotter.XY{X: seconds(sm.At), Y: sm.Busy}
+			pooled[at] = plotter.XY{X: sm.At.Seconds(), Y: sm.Pooled}
+			busy[at] = plotter.XY{X: sm.At.Seconds(), Y: sm.Busy}
 		}
 		for _, series := range []struct {
 			name   string
@@ -48,5 +47,3 @@
 	}
 	return nil
 }
-
-func seconds(span time.Duration) float64 { return span.Seconds() }
--- a/internal/standin/taskworker/taskworker.go
+++ b/internal/standin/taskworker/taskworker.go
@@ -1,6 +1,6 @@
 // Package taskworker is a stand-in for a worker that runs tasks: it pretends
-// to work for each task's estimate, keeps its lease, refuses what it must and
-// lists ends, checkpoints and progress.
+// to work for as long as each task takes, keeps its lease, refuses what it must
+// and lists ends, checkpoints and progress.
 //
 // Usage:
 //
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
 
 	weir "greengageweir"
@@ -26,15 +27,59 @@
 	defaultLength = 300 * time.Millisecond
 	// maxWait bounds how long a renewal waits for an end.
 	maxWait = 2 * time.Second
-	// full is the percent of a task that is done.
+	// startup is how long a lasting task takes until it is at work.
+	startup = 700 * time.Millisecond
+	// full is the percent of a task that is done, or at work.
 	full = 100
 )
 
+// Task is what a run does.
+type Task struct {
+	Length time.Duration
+	// Lasts marks a task that does not end by itself.
+	Lasts bool
+	Need  spec.Need
+}
+
 // running is one run.
 type running struct {
-	began  time.Time
-	from   time.Duration // work done before, from the checkpoint
-	length time.Duration
+	Task
+
+	began time.Time
+	from  time.Duration // work done before, from the checkpoint
+}
+
+// worked is the work that a run has done.
+func (rn *running) worked(now time.Time) time.Duration {
+	worked := rn.from + now.Sub(rn.began)
+	if rn.Lasts {
+		return worked
+	}
+	return min(worked, max(rn.Length, rn.from))
+}
+
+func (rn *running) percent(now time.Time) int {
+	if rn.Lasts {
+		return int(min(full, full*now.Sub(rn.began)/startup))
+	}
+	return int(full * rn.worked(now) / max(rn.Length, 1))
+}
+
+// coreSeconds is the work of this run alone.
+func (rn *running) coreSeconds(now time.Time) float64 {
+	return (rn.worked(now) - rn.from).Seconds() * cores(rn.Need)
+}
+
+func cores(nd spec.Need) float64 { return float64(nd.MilliCPU) / 1000 }
+
+// Usage is what a worker does and has done.
+type Usage struct {
+	// Runs is how many tasks run, on Cores cores.
+	Runs  int
+	Cores float64
+	// Worked is all the work done here, Running that of the present runs, in
+	// core-seconds.
+	Worked, Running float64
 }
 
 // Worker is one life of a worker. Set the exported fields before use.
@@ -42,6 +87,11 @@
 	ID    weir.InstanceID
 	Born  int64
 	Clock weir.Clock
+	// Task tells what a run does when it begins; nil reads its length from the
+	// order's text. It must not block.
+	Task func(order weir.RunOrder) Task
+	// Room bounds what runs at a time; the zero value bounds nothing.
+	Room spec.Need
 
 	mu     sync.Mutex
 	origin time.Time
@@ -54,6 +104,9 @@
 	number int64
 	ended  chan struct{}
 	done   map[weir.TaskRef]int
+	// worked is the work of runs that are over, in core-seconds.
+	worked float64
+	killed bool
 }
 
 // lock prepares the worker at its first use and lets time pass.
@@ -67,17 +120,18 @@
 	}
 	for key, rn := range wk.runs {
 		switch {
-		case rn.from+now.Sub(rn.began) >= rn.length && !now.After(wk.until):
-			wk.end(key, store.EndDone, "")
+		case !rn.Lasts && rn.from+now.Sub(rn.began) >= rn.Length && !now.After(wk.until):
+			wk.end(now, key, store.EndDone, "")
 			wk.done[key.Task]++
 		case now.After(wk.until):
-			wk.end(key, store.EndLapsed, "")
+			wk.end(now, key, store.EndLapsed, "")
 		}
 	}
 	return now
 }
 
-func (wk *Worker) end(key weir.RunKey, how store.How, checkpoint string) {
+func (wk *Worker) end(now time.Time, key weir.RunKey, how store.How, checkpoint string) {
+	wk.worked += wk.runs[key].coreSeconds(now)
 	delete(wk.runs, key)
 	wk.last[key.Task] = max(wk.last[key.Task], key.Run)
 	wk.number++
@@ -120,11 +174,58 @@
 	case now.After(wk.origin.Add(order.Until)):
 		ans.Refusal = weir.RefusedLate
 	default:
-		wk.runs[order.RunKey] = &running{began: now, length: length(order.Text), from: resume(order.Checkpoint)}
+		ans.Refusal = wk.begin(now, order)
 	}
 	return ans, nil
 }
 
+func (wk *Worker) begin(now time.Time, order weir.RunOrder) weir.Refusal {
+	rn := &running{began: now, from: resume(order.Checkpoint), Task: Task{Length: length(order.Text)}}
+	if wk.Task != nil {
+		rn.Task = wk.Task(order)
+	}
+	if wk.Room != (spec.Need{}) && !rn.Need.Fits(wk.Room.Minus(wk.used())) {
+		return weir.RefusedRoom
+	}
+	wk.runs[order.RunKey] = rn
+	return weir.RefusedNone
+}
+
+// used is the room that runs take.
+func (wk *Worker) used() spec.Need {
+	var sum spec.Need
+	for _, rn := range wk.runs {
+		sum = sum.Plus(rn.Need)
+	}
+	return sum
+}
+
+// Usage returns what the worker does and has done.
+func (wk *Worker) Usage() Usage {
+	now := wk.lock()
+	defer wk.mu.Unlock()
+	us := Usage{Runs: len(wk.runs), Cores: cores(wk.used())}
+	for _, rn := range wk.runs {
+		us.Running += rn.coreSeconds(now)
+	}
+	us.Worked = wk.worked + us.Running
+	return us
+}
+
+// Kill ends the worker without a word: what runs is over, and renewals that
+// wait return.
+func (wk *Worker) Kill() {
+	now := wk.lock()
+	defer wk.mu.Unlock()
+	for key, rn := range wk.runs {
+		wk.worked += rn.coreSeconds(now)
+		delete(wk.runs, key)
+	}
+	wk.killed = true
+	close(wk.ended)
+	wk.ended = make(chan struct{})
+}
+
 // length reads how long a task takes from a text such as "800ms and more".
 func length(text string) time.Duration {
 	if word := strings.Fields(text); len(word) > 0 {
@@ -153,7 +254,7 @@
 		return ans, nil
 	}
 	if rn := wk.runs[key]; rn != nil {
-		wk.end(key, store.EndStopped, strconv.FormatInt(int64(rn.from+now.Sub(rn.began)), 10))
+		wk.end(now, key, store.EndStopped, strconv.FormatInt(int64(rn.worked(now)), 10))
 	}
 	wk.last[key.Task] = max(wk.last[key.Task], key.Run)
 	return ans, nil
@@ -174,7 +275,7 @@
 		wk.acknowledge(order.Acknowledged)
 	}
 	patience := begin.Add(min(order.Wait, maxWait))
-	for len(wk.ends) == 0 && wk.Clock.Now().Before(patience) && ctx.Err() == nil {
+	for len(wk.ends) == 0 && !wk.killed && wk.Clock.Now().Before(patience) && ctx.Err() == nil {
 		ended, next := wk.ended, wk.nextEnd(patience)
 		wk.mu.Unlock()
 		timer := time.NewTimer(next)
@@ -195,7 +296,9 @@
 	now := wk.Clock.Now()
 	next := patience.Sub(now)
 	for _, rn := range wk.runs {
-		next = min(next, rn.length-rn.from-now.Sub(rn.began))
+		if !rn.Lasts {
+			next = min(next, rn.Length-rn.from-now.Sub(rn.began))
+		}
 	}
 	return max(next, time.Millisecond)
 }
@@ -208,10 +311,8 @@
 	now := wk.Clock.Now()
 	rep := weir.WorkerReport{Clock: now.Sub(wk.origin), Born: wk.Born, Ends: slices.Clone(wk.ends)}
 	for key, rn := range wk.runs {
-		worked := rn.from + now.Sub(rn.began)
 		rep.Running = append(rep.Running, weir.RunningTask{
-			RunKey: key, Percent: int(full * worked / max(rn.length, 1)),
-			Checkpoint: strconv.FormatInt(int64(worked.Truncate(time.Second)), 10),
+			RunKey: key, Percent: rn.percent(now), Checkpoint: strconv.FormatInt(int64(rn.worked(now).Truncate(time.Second)), 10),
 		})
 	}
 	return rep
--- a/internal/task/session/session_test.go
+++ b/internal/task/session/session_test.go
@@ -143,8 +143,9 @@
 	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 2, "both are still to be recorded")
 }
 
-// TestVerdictIsHandedOutOnce keeps a slow log from being flooded.
-func TestVerdictIsHandedOutOnce(t *testing.T) {
+// cancelledStart returns a session whose only start was cancelled before it was
+// sent.
+func cancelledStart(t *testing.T) (*Session, *fakeWorker, weir.RunKey) {
 	ss, fw := newSession(t)
 	ss.renew(context.Background())
 	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
@@ -153,6 +154,12 @@
 	for len(ss.orders) > 0 {
 		(<-ss.orders)(context.Background())
 	}
+	return ss, fw, key
+}
+
+// TestVerdictIsHandedOutOnce keeps a slow log from being flooded.
+func TestVerdictIsHandedOutOnce(t *testing.T) {
+	ss, fw, key := cancelledStart(t)
 	placed := []Placed{{Key: key}}
 	require.Len(t, ss.Reconcile(fw.clk.Now(), placed).Ends, 1)
 	require.Empty(t, ss.Reconcile(fw.clk.Now(), placed).Ends, "it is being recorded")
@@ -171,14 +178,7 @@
 }
 
 func TestStartOfACancelledRunIsNotSent(t *testing.T) {
-	ss, fw := newSession(t)
-	ss.renew(context.Background())
-	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
-	ss.Start(weir.RunOrder{RunKey: key})
-	ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
-	for len(ss.orders) > 0 {
-		(<-ss.orders)(context.Background())
-	}
+	ss, fw, key := cancelledStart(t)
 	require.Empty(t, fw.starts)
 	out := ss.Reconcile(fw.clk.Now(), []Placed{{Key: key}})
 	require.Equal(t, []store.End{{Task: key.Task, Run: 1, How: store.EndRefused}}, out.Ends)
