--- /dev/null
+++ b/internal/job/scheduler/load.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"time"
+
+	"greengageweir/internal/job/spec"
+	"greengageweir/internal/job/store"
+	"greengageweir/internal/schedule/placement"
+
+	weir "greengageweir"
+)
+
+// loadLogInterval is the time between two reports of the scheduler's load.
+const loadLogInterval = time.Second
+
+// roundLoad sums up the rounds since the last report.
+type roundLoad struct {
+	reportedAt time.Time
+	rounds     int
+	total      time.Duration
+	longest    time.Duration
+}
+
+func (rl *roundLoad) add(took time.Duration) {
+	rl.rounds++
+	rl.total += took
+	rl.longest = max(rl.longest, took)
+}
+
+// poolWait describes the ready tasks of a pool that no run has been started for.
+type poolWait struct {
+	tasks   int
+	waiting spec.Resources
+	// noCPU and noMemory count the tasks that no usable worker has enough
+	// processor time or memory for.
+	noCPU, noMemory int
+	late            int
+	longest         time.Duration
+}
+
+// reportLoad logs how busy the rounds were and, for each pool with waiting tasks,
+// what they lack.
+func (sc *Scheduler) reportLoad(ls *leaderState, now time.Time) {
+	rl := ls.rounds
+	if now.Sub(rl.reportedAt) < loadLogInterval {
+		return
+	}
+	_ = sc.Logger.Log("level", "info", "msg", "scheduler load", "rounds", rl.rounds, "busy", rl.total.String(),
+		"longest", rl.longest.String(), "sessions", len(ls.sessions))
+	ls.rounds = roundLoad{reportedAt: now}
+	sc.Store.Read(func(rd store.Reader) {
+		jobs := sc.pendingJobs(rd)
+		workers := sc.usableWorkers(ls, rd, now, jobs)
+		largest, free, usable := maxFreeByPool(workers), map[weir.PoolName]spec.Resources{}, map[weir.PoolName]int{}
+		for _, wk := range workers {
+			free[wk.Pool] = free[wk.Pool].Plus(wk.Free)
+			usable[wk.Pool]++
+		}
+		for pool, wait := range sc.waitingTasks(ls, jobs, largest) {
+			_ = sc.Logger.Log("level", "info", "msg", "tasks waiting", "pool", pool, "tasks", wait.tasks, "late", wait.late,
+				"longest", wait.longest.String(), "milliCPU", wait.waiting.MilliCPU, "memoryMB", wait.waiting.MemoryMB,
+				"noCPU", wait.noCPU, "noMemory", wait.noMemory, "usable", usable[pool],
+				"freeMilliCPU", free[pool].MilliCPU, "freeMemoryMB", free[pool].MemoryMB)
+		}
+	})
+}
+
+// waitingTasks sums up the ready tasks without a run by pool; largest is the most
+// that a worker of each pool has free.
+func (sc *Scheduler) waitingTasks(ls *leaderState, jobs []pendingJob, largest map[weir.PoolName]spec.Resources) map[weir.PoolName]poolWait {
+	waits := map[weir.PoolName]poolWait{}
+	wall := sc.Wall.Now()
+	for _, pj := range jobs {
+		for oc := range pj.job.Occurrences {
+			if pj.job.Spec.DueAt(oc).After(wall) {
+				break
+			}
+			for sp := range pj.job.Occurrences[oc] {
+				if gr, ok := sc.group(ls, pj.job, pj.queue, oc, sp); ok {
+					waits[gr.Pool] = waits[gr.Pool].with(gr, largest[gr.Pool], wall)
+				}
+			}
+		}
+	}
+	return waits
+}
+
+// with adds the tasks of a group.
+func (pw poolWait) with(gr placement.Group, largest spec.Resources, wall time.Time) poolWait {
+	need := gr.Spec.Reserved()
+	for _, tk := range gr.Tasks {
+		pw.tasks++
+		pw.waiting = pw.waiting.Plus(need)
+		pw.longest = max(pw.longest, wall.Sub(tk.WaitingSince))
+		if need.MilliCPU > largest.MilliCPU {
+			pw.noCPU++
+		}
+		if need.MemoryMB > largest.MemoryMB {
+			pw.noMemory++
+		}
+		if gr.StartBy.Before(wall) {
+			pw.late++
+		}
+	}
+	return pw
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -142,6 +142,7 @@
 	adviceInFlight bool
 	// runProgress holds the observed progress of the current runs.
 	runProgress map[weir.RunKey]progress
+	rounds      roundLoad
 }
 
 // workerSession is the session with one incarnation of a worker.
@@ -237,6 +238,7 @@
 		sc.round(leadCtx, ls, begin, all)
 		took := sc.Clock.Now().Sub(begin)
 		metrics.GetOrCreateHistogram("weir_job_round_seconds").Update(took.Seconds())
+		ls.rounds.add(took)
 		time.Sleep(min(max(took, minRoundInterval), maxRoundInterval))
 		select {
 		case <-ctx.Done():
@@ -333,6 +335,7 @@
 		sc.throttleAll(ls)
 		sc.checkProgress(ls)
 		sc.purgeExpiredJobs()
+		sc.reportLoad(ls, now)
 	}
 	sc.orderMachines(ctx, ls, now)
 	// Maintenance and moves depend on the runs at each machine, which are not
