fix: pools get machines for memory, and for tasks that fit on none of theirs

Cause: capacity was planned by processor time alone, summed over the pool. Memory was not counted, and a task that fits on none of the pool's workers was held to have room, because the sum had. Class of fault: a limit that placement obeys and planning does not know. Ruled out: a leader short of processor time: rounds took 0.14 to 0.28 s of each second, the longest 10 ms. Change: balance.Load counts each resource, the scarcest one decides; tasks that have waited 400 ms and fit on no usable worker call for machines beside those. The model's tasks can need memory; load 'memory'.

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -17,21 +17,27 @@
 	"slices"
 	"time"
 
+	"greengageweir/internal/job/spec"
+
 	weir "greengageweir"
 )
 
-// Load is the load of a pool's queues, in thousandths of a core.
+// Load is the load of a pool's queues.
 type Load struct {
-	// LongRunning is used by long-running tasks, Busy by other running tasks.
-	LongRunning int
-	Busy        int
+	// LongRunning is reserved by long-running tasks, Busy by other running tasks.
+	LongRunning spec.Resources
+	Busy        spec.Resources
 	// Waiting is requested by tasks that are ready but not running.
-	Waiting int
+	Waiting spec.Resources
 	// ArrivalRate is the estimated work of the jobs that arrived within the last
-	// ArrivalWindow, divided by the window, in thousandths of a core.
-	ArrivalRate int
+	// ArrivalWindow, divided by the window: what they will use at a time.
+	ArrivalRate spec.Resources
+	// Stuck is requested by tasks that have waited longer than StuckAfter and fit
+	// on none of the Usable workers, however much these have free in total.
+	Stuck  spec.Resources
+	Usable int
 	// MachineCapacity is the capacity of one machine.
-	MachineCapacity int
+	MachineCapacity spec.Resources
 	// MinMachines is the number of machines over which long-running tasks must be
 	// spread.
 	MinMachines int
@@ -42,6 +48,9 @@
 	// several jobs of a rising queue and is short compared with the time of a
 	// move.
 	ArrivalWindow = 400 * time.Millisecond
+	// StuckAfter is how long a task waits for room on the pool's workers before
+	// other machines are called for it. Most tasks end sooner than that.
+	StuckAfter = 400 * time.Millisecond
 	// ReleaseHold is how long a pool keeps machines that it no longer needs before
 	// they move to a standby pool. Two moves cost about as much as running a
 	// machine for two to three seconds.
@@ -57,19 +66,36 @@
 	headroom = 1.15
 )
 
-// MachinesNeeded returns how many machines a pool with the given load needs.
+// MachinesNeeded returns how many machines a pool with the given load needs: as
+// many as the scarcest resource requires.
 func MachinesNeeded(ld Load) int {
-	floor := 1
+	need := 1
 	if ld.MinMachines > 0 {
-		floor = ld.MinMachines + spareMachines
+		need = ld.MinMachines + spareMachines
 	}
-	if ld.MachineCapacity <= 0 {
-		return floor
+	for _, of := range resources {
+		capacity := of(ld.MachineCapacity)
+		if capacity <= 0 {
+			continue
+		}
+		load := float64(of(ld.LongRunning)) + headroom*float64(max(of(ld.Busy)+of(ld.Waiting), of(ld.ArrivalRate)))
+		need = max(need, ceilDiv(int(load), capacity))
+		if stuck := of(ld.Stuck); stuck > 0 {
+			need = max(need, ld.Usable+ceilDiv(stuck, capacity))
+		}
 	}
-	load := float64(ld.LongRunning) + headroom*float64(max(ld.Busy+ld.Waiting, ld.ArrivalRate))
-	return max(floor, int((load+float64(ld.MachineCapacity)-1)/float64(ld.MachineCapacity)))
+	return need
 }
 
+// resources are the resources that limit how many tasks fit on a machine.
+var resources = []func(rs spec.Resources) int{
+	func(rs spec.Resources) int { return rs.MilliCPU },
+	func(rs spec.Resources) int { return rs.MemoryMB },
+	func(rs spec.Resources) int { return rs.GPU },
+}
+
+func ceilDiv(amount, unit int) int { return (amount + unit - 1) / unit }
+
 // Pool is the demand of a pool for machines.
 type Pool struct {
 	Name    weir.PoolName
--- a/internal/capacity/balance/balance_test.go
+++ b/internal/capacity/balance/balance_test.go
@@ -6,21 +6,32 @@
 
 	"github.com/stretchr/testify/require"
 
+	"greengageweir/internal/job/spec"
+
 	weir "greengageweir"
 )
 
 func TestNeed(t *testing.T) {
+	cpu := func(milli int) spec.Resources { return spec.Resources{MilliCPU: milli} }
+	both := func(milli, megabytes int) spec.Resources {
+		return spec.Resources{MilliCPU: milli, MemoryMB: megabytes}
+	}
 	cases := map[string]struct {
 		load Load
 		want int
 	}{
-		"nothing":                      {Load{MachineCapacity: 64_000}, 1},
-		"long-running tasks spread":    {Load{MachineCapacity: 64_000, LongRunning: 20_000, MinMachines: 5}, 5},
-		"waiting work":                 {Load{MachineCapacity: 64_000, Busy: 64_000, Waiting: 192_000}, 5},
-		"arriving work":                {Load{MachineCapacity: 64_000, ArrivalRate: 640_000}, 12},
-		"the larger of the two":        {Load{MachineCapacity: 64_000, ArrivalRate: 64_000, Waiting: 640_000}, 12},
-		"unknown machine capacity":     {Load{Waiting: 64_000}, 1},
-		"long-running and other tasks": {Load{MachineCapacity: 64_000, LongRunning: 64_000, Waiting: 100_000, MinMachines: 1}, 3},
+		"nothing":                                          {Load{MachineCapacity: cpu(64_000)}, 1},
+		"long-running tasks spread":                        {Load{MachineCapacity: cpu(64_000), LongRunning: cpu(20_000), MinMachines: 5}, 5},
+		"waiting work":                                     {Load{MachineCapacity: cpu(64_000), Busy: cpu(64_000), Waiting: cpu(192_000)}, 5},
+		"arriving work":                                    {Load{MachineCapacity: cpu(64_000), ArrivalRate: cpu(640_000)}, 12},
+		"the larger of the two":                            {Load{MachineCapacity: cpu(64_000), ArrivalRate: cpu(64_000), Waiting: cpu(640_000)}, 12},
+		"unknown machine capacity":                         {Load{Waiting: cpu(64_000)}, 1},
+		"long-running and other tasks":                     {Load{MachineCapacity: cpu(64_000), LongRunning: cpu(64_000), Waiting: cpu(100_000), MinMachines: 1}, 3},
+		"memory of long-running tasks":                     {Load{MachineCapacity: both(64_000, 256_000), LongRunning: both(64_000, 1_400_000)}, 6},
+		"memory of waiting tasks":                          {Load{MachineCapacity: both(64_000, 256_000), Waiting: both(64_000, 600_000)}, 3},
+		"processor time is scarcer":                        {Load{MachineCapacity: both(64_000, 256_000), Waiting: both(192_000, 256_000)}, 4},
+		"a task that fits nowhere":                         {Load{MachineCapacity: both(64_000, 256_000), Busy: both(9_000, 33_000), Waiting: both(9_000, 100_000), Stuck: both(9_000, 100_000), Usable: 7}, 8},
+		"no machine for tasks that wait for others to end": {Load{MachineCapacity: both(64_000, 256_000), Busy: both(9_000, 33_000), Waiting: both(9_000, 100_000), Usable: 7}, 1},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) { require.Equal(t, tc.want, MachinesNeeded(tc.load)) })
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -139,10 +139,7 @@
 func maxFreeByPool(workers []placement.Worker) map[weir.PoolName]spec.Resources {
 	free := map[weir.PoolName]spec.Resources{}
 	for _, wk := range workers {
-		largest := free[wk.Pool]
-		free[wk.Pool] = spec.Resources{
-			MilliCPU: max(largest.MilliCPU, wk.Free.MilliCPU), MemoryMB: max(largest.MemoryMB, wk.Free.MemoryMB), GPU: max(largest.GPU, wk.Free.GPU),
-		}
+		free[wk.Pool] = free[wk.Pool].Max(wk.Free)
 	}
 	return free
 }
@@ -212,11 +209,9 @@
 		}
 		if !tk.Done {
 			ref.Index = ix
-			since := js.Accepted
-			if tk.EndedAt.After(since) {
-				since = tk.EndedAt
-			}
-			gr.Tasks = append(gr.Tasks, placement.Task{Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: since})
+			gr.Tasks = append(gr.Tasks, placement.Task{
+				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
+			})
 		}
 	}
 	if step.Gang {
--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"greengageweir/internal/capacity/balance"
+	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
 
 	weir "greengageweir"
@@ -62,7 +64,7 @@
 // rebalance moves machines to the pools that need them.
 func (sc *Scheduler) rebalance(ls *leaderState, rd store.Reader, byMachine map[string]store.Worker, now time.Time) {
 	mst := ls.machines
-	loads := sc.poolLoads(rd)
+	loads := sc.poolLoads(ls, rd, now)
 	machines := sc.balanceMachines(ls, rd, byMachine, now)
 	have := map[weir.PoolName]int{}
 	cordoned := map[weir.PoolName]int{}
@@ -96,7 +98,8 @@
 	for _, mv := range dec.Moves {
 		load := loads[mv.TargetPool]
 		_ = sc.Logger.Log("level", "info", "msg", "machine move submitted", "machine", mv.Machine, "to", mv.TargetPool, "have", have[mv.TargetPool],
-			"busy", load.Busy, "waiting", load.Waiting, "rate", load.ArrivalRate, "lasting", load.LongRunning)
+			"busy", load.Busy.String(), "waiting", load.Waiting.String(), "rate", load.ArrivalRate.String(),
+			"lasting", load.LongRunning.String(), "stuck", load.Stuck.String())
 		mst.lastOrderAt[mv.Machine] = time.Time{}
 		sc.commitOperation(ls, store.MachineOperation{Machine: mv.Machine, Pool: mv.TargetPool}, byMachine[mv.Machine])
 	}
@@ -121,30 +124,41 @@
 }
 
 // poolLoads returns the load that the queues of each pool put on it.
-func (sc *Scheduler) poolLoads(rd store.Reader) map[weir.PoolName]balance.Load {
+func (sc *Scheduler) poolLoads(ls *leaderState, rd store.Reader, now time.Time) map[weir.PoolName]balance.Load {
 	wall := sc.Wall.Now()
 	loads := map[weir.PoolName]balance.Load{}
-	largest := 0
+	var largest spec.Resources
 	rd.EachWorker(func(wk store.Worker) {
 		ld := loads[wk.Pool]
-		ld.MachineCapacity = max(ld.MachineCapacity, wk.Capacity.MilliCPU)
-		largest = max(largest, ld.MachineCapacity)
+		ld.MachineCapacity = ld.MachineCapacity.Max(wk.Capacity)
+		largest = largest.Max(wk.Capacity)
 		loads[wk.Pool] = ld
 	})
+	rooms := sc.freeRooms(ls, rd, now)
 	rd.EachActiveJob(func(js *store.JobState) {
 		qu, ok := rd.Queue(js.Spec.Queue)
 		if !ok || js.Phase.Terminal() {
 			return
 		}
 		ld := loads[qu.Pool]
-		ld.MachineCapacity = max(ld.MachineCapacity, largest)
-		addLoad(&ld, js, wall)
+		ld.MachineCapacity = ld.MachineCapacity.Max(largest)
+		ld.Usable = len(rooms[qu.Pool])
+		addLoad(&ld, js, rooms[qu.Pool], wall)
 		loads[qu.Pool] = ld
 	})
 	return loads
 }
 
-func addLoad(ld *balance.Load, js *store.JobState, wall time.Time) {
+// freeRooms returns what the usable workers of each pool that has jobs have free.
+func (sc *Scheduler) freeRooms(ls *leaderState, rd store.Reader, now time.Time) map[weir.PoolName][]spec.Resources {
+	rooms := map[weir.PoolName][]spec.Resources{}
+	for _, wk := range sc.usableWorkers(ls, rd, now, sc.pendingJobs(rd)) {
+		rooms[wk.Pool] = append(rooms[wk.Pool], wk.Free)
+	}
+	return rooms
+}
+
+func addLoad(ld *balance.Load, js *store.JobState, rooms []spec.Resources, wall time.Time) {
 	recent := wall.Sub(js.Accepted) < balance.ArrivalWindow
 	for oc, steps := range js.Occurrences {
 		if js.Spec.DueAt(oc).After(wall) {
@@ -152,30 +166,53 @@
 		}
 		for sp := range steps {
 			step := js.Spec.Steps[sp]
-			cpu := step.Reserved().MilliCPU
-			if cpu > ld.MachineCapacity {
+			need := step.Reserved()
+			if !need.Fits(ld.MachineCapacity) {
 				continue // larger than any machine
 			}
+			if js.StepReady(oc, sp) && !slices.ContainsFunc(rooms, need.Fits) {
+				ld.Stuck = ld.Stuck.Plus(need.Times(float64(stuckTasks(steps[sp], js.ReadySince(oc, sp), wall))))
+			}
 			if step.LongRunning {
-				ld.LongRunning += cpu * step.Count
+				ld.LongRunning = ld.LongRunning.Plus(need.Times(float64(step.Count)))
 				ld.MinMachines = max(ld.MinMachines, step.MinWorkers())
 				continue
 			}
 			if recent {
-				work := float64(cpu*step.Count) * min(step.Estimate, maxEstimate).Seconds()
-				ld.ArrivalRate += int(work / balance.ArrivalWindow.Seconds())
-			}
-			ready := js.StepReady(oc, sp)
-			for ix := range steps[sp].Tasks {
-				switch tk := &steps[sp].Tasks[ix]; {
-				case tk.Placed():
-					ld.Busy += cpu
-				case !tk.Done && ready:
-					ld.Waiting += cpu
-				}
+				share := min(step.Estimate, maxEstimate).Seconds() / balance.ArrivalWindow.Seconds()
+				ld.ArrivalRate = ld.ArrivalRate.Plus(need.Times(float64(step.Count) * share))
 			}
+			placed, waiting := countTasks(steps[sp], js.StepReady(oc, sp))
+			ld.Busy = ld.Busy.Plus(need.Times(float64(placed)))
+			ld.Waiting = ld.Waiting.Plus(need.Times(float64(waiting)))
+		}
+	}
+}
+
+// countTasks counts the tasks of a step that are placed and those that may start.
+func countTasks(ss store.StepState, ready bool) (placed, waiting int) {
+	for ix := range ss.Tasks {
+		switch tk := &ss.Tasks[ix]; {
+		case tk.Placed():
+			placed++
+		case !tk.Done && ready:
+			waiting++
+		}
+	}
+	return placed, waiting
+}
+
+// stuckTasks counts the tasks of a step that have waited longer than
+// balance.StuckAfter.
+func stuckTasks(ss store.StepState, ready, wall time.Time) int {
+	count := 0
+	for ix := range ss.Tasks {
+		tk := &ss.Tasks[ix]
+		if !tk.Placed() && !tk.Done && wall.Sub(tk.WaitingSince(ready)) > balance.StuckAfter {
+			count++
 		}
 	}
+	return count
 }
 
 // balanceMachines returns the machines with their pools and loads, as input for
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -66,6 +66,21 @@
 	return Resources{MilliCPU: rs.MilliCPU - other.MilliCPU, MemoryMB: rs.MemoryMB - other.MemoryMB, GPU: rs.GPU - other.GPU}
 }
 
+// Times returns a multiple of the amounts, rounded down.
+func (rs Resources) Times(factor float64) Resources {
+	return Resources{MilliCPU: int(float64(rs.MilliCPU) * factor), MemoryMB: int(float64(rs.MemoryMB) * factor), GPU: int(float64(rs.GPU) * factor)}
+}
+
+// Max returns the larger amount of each resource.
+func (rs Resources) Max(other Resources) Resources {
+	return Resources{MilliCPU: max(rs.MilliCPU, other.MilliCPU), MemoryMB: max(rs.MemoryMB, other.MemoryMB), GPU: max(rs.GPU, other.GPU)}
+}
+
+// String returns the amounts for logs.
+func (rs Resources) String() string {
+	return fmt.Sprintf("%dm %dMB %dgpu", rs.MilliCPU, rs.MemoryMB, rs.GPU)
+}
+
 // Fits reports whether each resource is within the given free capacity.
 func (rs Resources) Fits(free Resources) bool {
 	return rs.MilliCPU <= free.MilliCPU && rs.MemoryMB <= free.MemoryMB && rs.GPU <= free.GPU
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -48,6 +48,15 @@
 // Placed reports whether a run of the task may be on a worker.
 func (tk *Task) Placed() bool { return tk.Worker != "" }
 
+// WaitingSince returns since when a task without a run waits, if its step was
+// ready at the given time.
+func (tk *Task) WaitingSince(ready time.Time) time.Time {
+	if tk.EndedAt.After(ready) {
+		return tk.EndedAt
+	}
+	return ready
+}
+
 // StepState holds the tasks of one step of one occurrence.
 type StepState struct {
 	Tasks []Task `json:"t"`
@@ -141,6 +150,22 @@
 	return true
 }
 
+// ReadySince returns since when the steps that a step depends on are done.
+func (js *JobState) ReadySince(occurrence, step int) time.Time {
+	since := js.Accepted
+	if due := js.Spec.DueAt(occurrence); due.After(since) {
+		since = due
+	}
+	for _, before := range js.Spec.Steps[step].After {
+		for ix := range js.Occurrences[occurrence][before].Tasks {
+			if ended := js.Occurrences[occurrence][before].Tasks[ix].EndedAt; ended.After(since) {
+				since = ended
+			}
+		}
+	}
+	return since
+}
+
 // state is the complete replicated state. Fields without a name in JSON are
 // indexes that are rebuilt from the others.
 type state struct {
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -42,6 +42,9 @@
 	// of a task. One task of such a job may be unavailable at a time.
 	LongRunningJobs, LongRunningTasks int
 	LongRunningCores                  float64
+	// MemoryGB is the mean memory of a task, LongRunningMemoryGB that of a
+	// long-running one; 0 means that it needs next to none.
+	MemoryGB, LongRunningMemoryGB float64
 }
 
 // Wave is planned maintenance of a share of the machines. It starts at At, and its
@@ -69,7 +72,9 @@
 	// Standby is the number of machines that are powered off at the start.
 	Standby int
 	// MachineCores is the number of cores of a machine.
-	MachineCores    float64
+	MachineCores float64
+	// MachineMemoryGB is the memory of a machine; 0 means more than tasks need.
+	MachineMemoryGB float64
 	MachinesPerRack int
 	// Period is how long one pool is at its peak; Pool.Phase counts periods.
 	Period                 time.Duration
@@ -123,6 +128,19 @@
 	return ld
 }
 
+// Memory returns a load of few jobs whose tasks need more memory than processor
+// time, as do the long-running tasks beside them.
+func Memory() Load {
+	ld := Small()
+	ld.Name, ld.MachineMemoryGB, ld.PeakFactor, ld.BaseFactor = "memory", 256, 1, 1
+	for ix := range ld.Pools {
+		po := &ld.Pools[ix]
+		po.JobsPerSecond, po.MemoryGB, po.LongRunningMemoryGB = 0.5, 35, 100
+		po.LongRunningCores = 9.6
+	}
+	return ld
+}
+
 // WithTrouble returns the load with a maintenance wave over almost half of the
 // machines and two crashes.
 func (ld Load) WithTrouble() Load {
@@ -135,7 +153,9 @@
 }
 
 // loads returns all named loads.
-func loads() []Load { return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble()} }
+func loads() []Load {
+	return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble(), Memory()}
+}
 
 // LoadNames returns the names that LoadByName accepts.
 func LoadNames() []string {
@@ -199,8 +219,11 @@
 	work         float64
 }
 
-// arrivalStep is the resolution of the random arrival times.
-const arrivalStep = 10 * time.Millisecond
+const (
+	// arrivalStep is the resolution of the random arrival times.
+	arrivalStep    = 10 * time.Millisecond
+	megabytesPerGB = 1024
+)
 
 // drawJobs returns the random jobs of a seed in order of submission.
 func (ld Load) drawJobs(seed int64) []plannedJob {
@@ -232,6 +255,9 @@
 			Resources: spec.Resources{MilliCPU: int(1000 * lognormal(rng, po.Cores, 0.45, 3*po.Cores)), MemoryMB: 1},
 			Estimate:  time.Duration(lognormal(rng, mean, po.EstimateError, 3*mean) * float64(time.Second)), Checkpointing: po.Checkpointing,
 		}
+		if po.MemoryGB > 0 {
+			st.Resources.MemoryMB = int(megabytesPerGB * lognormal(rng, po.MemoryGB, 0.6, 3*po.MemoryGB))
+		}
 		if sp > 0 {
 			st.After = []int{sp - 1}
 		}
@@ -253,7 +279,7 @@
 	var out []*spec.Job
 	for ix := range po.LongRunningJobs {
 		out = append(out, &spec.Job{ID: weir.JobID(fmt.Sprintf("%s-lasting-%d", po.Name, ix)), Text: "play", Steps: []spec.Step{{
-			Count: po.LongRunningTasks, Resources: spec.Resources{MilliCPU: int(1000 * po.LongRunningCores), MemoryMB: 1}, LongRunning: true,
+			Count: po.LongRunningTasks, Resources: spec.Resources{MilliCPU: int(1000 * po.LongRunningCores), MemoryMB: 1 + int(megabytesPerGB*po.LongRunningMemoryGB)}, LongRunning: true,
 			MaxPerWorker: 1, MaxUnavailable: 1,
 		}}})
 	}
--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -229,6 +229,9 @@
 		time.Sleep(announceInterval)
 	}
 	capacity := spec.Resources{MilliCPU: int(sr.Load.MachineCores * 1000), MemoryMB: 1 << 20}
+	if sr.Load.MachineMemoryGB > 0 {
+		capacity.MemoryMB = int(megabytesPerGB * sr.Load.MachineMemoryGB)
+	}
 	number := 0
 	add := func(pool weir.PoolName, count int) {
 		for range count {
--- a/internal/standin/play/play_test.go
+++ b/internal/standin/play/play_test.go
@@ -7,10 +7,14 @@
 	"path/filepath"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+// maxIdleWait is how long a job may wait while a fleet has capacity for it.
+const maxIdleWait = 3 * time.Second
+
 // runSimulated runs a load in simulated time.
 func runSimulated(tb testing.TB, ld Load, policy Policy, seed int64) Result {
 	t, ok := tb.(*testing.T)
@@ -48,6 +52,13 @@
 	require.Error(t, Plot(filepath.Join(t.TempDir(), "play.txt"), []Result{fixed}), "unknown file format")
 }
 
+// TestJobsStartWherePoolsRunOutOfMemory guards against capacity that is planned by
+// processor time alone: jobs then wait beside idle processors.
+func TestJobsStartWherePoolsRunOutOfMemory(t *testing.T) {
+	res := runSimulated(t, Memory(), PolicyScheduler, 1)
+	require.Less(t, res.LongestStartDelay, maxIdleWait)
+}
+
 func TestNamedLoads(t *testing.T) {
 	for _, name := range LoadNames() {
 		ld, err := LoadByName(name)
--- a/internal/standin/play/result.go
+++ b/internal/standin/play/result.go
@@ -42,6 +42,8 @@
 	// StartDelay is the median and the 95th percentile of the time from the
 	// acceptance of a job to its first start.
 	StartDelay [2]time.Duration
+	// LongestStartDelay is that of the job that waited longest.
+	LongestStartDelay time.Duration
 	// WaveDone is the share of the machines of the wave whose maintenance started
 	// in time.
 	WaveDone float64
@@ -114,6 +116,7 @@
 	slices.Sort(waits)
 	if len(waits) > 0 {
 		res.StartDelay = [2]time.Duration{waits[len(waits)/2], waits[len(waits)*95/100]}
+		res.LongestStartDelay = waits[len(waits)-1]
 	}
 	sr.addCosts(&res, before, after)
 	return res
