fix: entry instances that are cut off with a minority leave rotation

Cause: an instance was ready while any process with a log could be reached. In a cut zone that is the zone's own, which has no majority; the balancer had no reason to use other zones. Calls without an answer were repeated until the caller's deadline. Class of fault: readiness that asks for a link, not for the service behind it. Ruled out: processor time: failed jobs were as many without any charged. Looked at elsewhere: control processes answer 503 without a leader already; workers and operators move on to others by themselves. Change: ready means that the leader or a majority of the voters replies to heartbeats (half a second, links are given up after 1.5 s). A cut off instance answers at once, 503 only for what it has not sent. The test failed before: TestInstanceCutOffWithMinorityLeavesRotation, the call took 60.0 s, bound 2 s.

--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -163,6 +163,9 @@
 type DirectoryReply struct {
 	Replicas []string `json:"holders"`
 	Leader   string   `json:"leader,omitempty"`
+	// Voters are the processes of which a majority elects the leader, empty if the
+	// process knows no leader.
+	Voters []string `json:"voters,omitempty"`
 }
 
 // ResolveQueue returns the queue of a path and the job id that follows the queue's
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"greengageweir/internal/common/errkind"
@@ -46,6 +47,8 @@
 	Roster *roster.Roster
 	Clock  weir.Clock
 	Logger log.Logger
+
+	isolated atomic.Bool // as last logged
 }
 
 // Handle implements jobapi.Handler.
@@ -64,6 +67,9 @@
 				mayHaveRun, reason = true, rep.Reason
 			case err == nil && rep.Outcome == jobapi.Unavailable:
 				reason = rep.Reason
+				if id == rl.Roster.Leader() {
+					rl.Roster.SetLeader("")
+				}
 			case err == nil:
 				rl.Roster.SetLeader(rep.Leader)
 				return rep
@@ -75,7 +81,9 @@
 				break
 			}
 		}
-		if ctx.Err() != nil || (!mayHaveRun && !rl.Clock.Now().Add(retryPause).Before(until)) {
+		// An instance that is cut off cannot learn what became of the call. Another
+		// one can, if the caller repeats it there.
+		if ctx.Err() != nil || !rl.Ready() || (!mayHaveRun && !rl.Clock.Now().Add(retryPause).Before(until)) {
 			return rl.giveUp(call, mayHaveRun, reason)
 		}
 		timer := time.NewTimer(retryPause)
@@ -98,15 +106,16 @@
 	return rep
 }
 
-// candidates returns the reachable processes to try, the leader first.
+// candidates returns the processes to try that reply to heartbeats, the leader
+// first.
 func (rl *Relay) candidates() []string {
 	leader := rl.Roster.Leader()
 	var ids []string
-	if leader != "" && rl.Links.Ready(leader) {
+	if leader != "" && rl.Links.Responsive(leader) {
 		ids = append(ids, leader)
 	}
 	for _, id := range rl.Roster.ReplicaIDs() {
-		if id != leader && rl.Links.Ready(id) {
+		if id != leader && rl.Links.Responsive(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -121,5 +130,21 @@
 	return rep, err
 }
 
-// Ready reports whether any process is reachable to forward a call to.
-func (rl *Relay) Ready() bool { return len(rl.candidates()) > 0 }
+// Ready reports whether calls can be served here: the leader replies, or a
+// majority of those that elect one does. A process that is cut off together with
+// a minority of them serves nobody, however many links are up.
+func (rl *Relay) Ready() bool {
+	electorate, reachable := rl.Roster.Electorate(), 0
+	for _, id := range electorate {
+		if rl.Links.Responsive(id) {
+			reachable++
+		}
+	}
+	leader := rl.Roster.Leader()
+	ready := 2*reachable > len(electorate) || (leader != "" && rl.Links.Responsive(leader))
+	if rl.isolated.Swap(!ready) == ready {
+		_ = rl.Logger.Log("level", "info", "msg", "readiness changed", "ready", ready, "reachable", reachable,
+			"voters", len(electorate), "leader", leader)
+	}
+	return ready
+}
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +16,7 @@
 	"greengageweir/internal/link/peer"
 	"greengageweir/internal/member/links"
 	"greengageweir/internal/member/roster"
+	network "greengageweir/internal/standin/relay"
 )
 
 const testToken = "a-token-of-the-test"
@@ -120,3 +123,48 @@
 	rly.Roster.SetLeader(lost.addr)
 	require.Equal(t, jobapi.OK, call(rly, 10*time.Second).Outcome, "a job is identified by its id, so the call may be repeated")
 }
+
+// TestInstanceCutOffWithMinorityLeavesRotation guards against instances of a cut
+// zone that keep callers to themselves until their deadlines.
+func TestInstanceCutOffWithMinorityLeavesRotation(t *testing.T) {
+	near := newReplica(t, respond(jobapi.Unavailable))
+	far, leader := newReplica(t, respond(jobapi.Unavailable)), newReplica(t, respond(jobapi.OK))
+	cut := zoneNetwork(t, far, leader)
+	rly := newRelay(t, near, far, leader)
+	rly.Roster.SetLeader(leader.addr)
+	require.True(t, rly.Ready())
+	require.Equal(t, jobapi.OK, call(rly, time.Second).Outcome)
+
+	cut()
+	begin := rly.Clock.Now()
+	require.Equal(t, jobapi.Unknown, call(rly, time.Minute).Outcome, "the leader may have run the call")
+	require.Less(t, rly.Clock.Now().Sub(begin), 2*time.Second, "the caller can still repeat it elsewhere in time")
+	require.False(t, rly.Ready())
+	sent := leader.calls.Load()
+	require.Equal(t, jobapi.Unavailable, call(rly, time.Minute).Outcome)
+	require.Equal(t, sent, leader.calls.Load(), "what is said not to have run was not sent")
+}
+
+// zoneNetwork puts replicas behind a network that can cut them off.
+func zoneNetwork(t *testing.T, replicas ...*replica) (cut func()) {
+	nw := &network.Relay{ControlAddr: freeAddress(t)}
+	for _, rp := range replicas {
+		route := network.Route{FromZone: "near", ToZone: "far", Listen: freeAddress(t), Target: rp.addr}
+		nw.Routes = append(nw.Routes, route)
+		rp.addr = route.Listen
+	}
+	require.NoError(t, nw.Default())
+	run(t, nw.Run)
+	return func() {
+		resp, err := http.Post("http://"+nw.ControlAddr+"/cut/far", "", nil)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, lis.Close()) }()
+	return lis.Addr().String()
+}
--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -26,8 +26,9 @@
 	// Handle handles calls and notifications that the server sends; it may be nil.
 	Handle Handler
 
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	silent bool // a heartbeat has been unanswered for silentAfter
 }
 
 // String returns the component's name for logs.
@@ -92,13 +93,25 @@
 		case <-conn.DisconnectNotify():
 			return
 		case <-ticker.C:
-			if callWithTimeout(ctx, conn, methodHeartbeat, nil) != nil {
+			if cl.heartbeat(ctx, conn) != nil {
 				return
 			}
 		}
 	}
 }
 
+// heartbeat sends one heartbeat and marks the link as silent while the reply is
+// overdue.
+func (cl *Client) heartbeat(ctx context.Context, conn *jsonrpc2.Conn) error {
+	overdue := time.AfterFunc(silentAfter, func() { cl.setSilent(conn, true) })
+	err := callWithTimeout(ctx, conn, methodHeartbeat, nil)
+	overdue.Stop()
+	if err == nil {
+		cl.setSilent(conn, false)
+	}
+	return err
+}
+
 func callWithTimeout(ctx context.Context, conn *jsonrpc2.Conn, method string, params any) error {
 	ctx, cancel := context.WithTimeout(ctx, LinkTimeout)
 	defer cancel()
@@ -108,7 +121,26 @@
 func (cl *Client) setConn(conn *jsonrpc2.Conn) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	cl.conn = conn
+	cl.conn, cl.silent = conn, false
+}
+
+// setSilent records whether the peer owes the reply to a heartbeat on a
+// connection.
+func (cl *Client) setSilent(conn *jsonrpc2.Conn, silent bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.conn == conn {
+		cl.silent = silent
+	}
+}
+
+// Responsive reports whether the link is up and the peer replies to heartbeats.
+// It notices a silent peer sooner than Connected, which is false only once the
+// link is given up.
+func (cl *Client) Responsive() bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.conn != nil && !cl.silent
 }
 
 // Conn returns the current connection, nil while the link is down.
--- a/internal/link/peer/peer.go
+++ b/internal/link/peer/peer.go
@@ -49,6 +49,9 @@
 	// LinkTimeout is the timeout for each read, write and heartbeat; a link that
 	// exceeds it is closed.
 	LinkTimeout = 1500 * time.Millisecond
+	// silentAfter is how long the reply to a heartbeat may take before the peer
+	// counts as silent: a hundred times a round trip between zones.
+	silentAfter = 500 * time.Millisecond
 
 	methodHello     = "link.hello"
 	methodHeartbeat = "link.beat"
--- a/internal/member/links/links.go
+++ b/internal/member/links/links.go
@@ -135,6 +135,13 @@
 	return mb != nil && mb.calls.Connected()
 }
 
+// Responsive reports whether the connection for calls to a process is up and the
+// process replies to heartbeats.
+func (ls *Links) Responsive(id string) bool {
+	mb := ls.member(id)
+	return mb != nil && mb.calls.Responsive()
+}
+
 func (ls *Links) member(id string) *member {
 	ls.mu.RLock()
 	defer ls.mu.RUnlock()
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -43,6 +43,7 @@
 	WithCore(ctx context.Context, fn func(now time.Time, core *replica.Core)) error
 	LeaderID() string
 	LeaderTerm() uint64
+	VoterIDs() []string
 }
 
 // Roster is the directory of known replicas. Set the exported fields before Run.
@@ -62,6 +63,8 @@
 	mu       sync.Mutex
 	replicas map[string]bool
 	leader   string
+	// voters are the voters that the last process with a leader named.
+	voters []string
 }
 
 // String returns the name of the component in logs.
@@ -134,6 +137,9 @@
 	list := jobapi.DirectoryReply{Replicas: slices.Sorted(maps.Keys(ro.replicas))}
 	ro.mu.Unlock()
 	list.Leader = ro.Leader()
+	if ro.Log != nil && list.Leader != "" {
+		list.Voters = ro.Log.VoterIDs()
+	}
 	return list
 }
 
@@ -190,9 +196,23 @@
 	for _, other := range list.Replicas {
 		ro.addReplica(other)
 	}
-	if list.Leader != "" {
+	if list.Leader != "" || id == ro.leader {
 		ro.leader = list.Leader
 	}
+	if len(list.Voters) > 0 {
+		ro.voters = list.Voters
+	}
+}
+
+// Electorate returns the processes of which a majority elects the leader: the
+// voters, or all known replicas while no voters are known.
+func (ro *Roster) Electorate() []string {
+	ro.mu.Lock()
+	defer ro.mu.Unlock()
+	if len(ro.voters) > 0 {
+		return slices.Clone(ro.voters)
+	}
+	return slices.Sorted(maps.Keys(ro.replicas))
 }
 
 // reconcileVoters makes the leader replicate to all known processes and proposes
--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -403,6 +403,9 @@
 	return nd.status.Leader
 }
 
+// VoterIDs returns the ids of the current voters.
+func (nd *Node) VoterIDs() []string { return nd.Status().Voters }
+
 // Deliver queues a message from the transport. It drops the message if the queue
 // is full, since Raft tolerates lost messages.
 func (nd *Node) Deliver(msg replica.Message) {
