fix: jobs with a task that crashes its workers are given up

Cause: a run that ends with its worker counted for nothing, so that a task whose every run ends so was started forever, together with those beside it. Class of fault: a retry without a limit, since the limit counts only what is reported. Ruled out by trials: counting every run that was on the worker (in the model it failed 1 to 5 jobs without such a task a run, long-running ones among them); counting runs that were never confirmed (the exploration failed a job under which no worker had crashed). A crash counts for the runs that were confirmed, and last to start; their tasks are kept apart until they are done or the second crash with one job in question fails it.

--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -325,15 +325,19 @@
 		return jobapi.Reply{Outcome: jobapi.OK}
 	}
 	wk := ann.Worker
-	ans, failed := sv.commit(ctx, store.Change{Join: &wk})
-	if failed != nil {
-		return *failed
+	results, err := sv.Committer.CommitEach(ctx, sv.Scheduler.JoinChanges(wk))
+	if err != nil {
+		return commitFailure(err)
 	}
+	joined := results[len(results)-1]
 	_ = sv.Logger.Log("level", "info", "msg", "worker announced", "worker", wk.ID, "born", wk.Incarnation, "pool", wk.Pool,
-		"address", wk.Address, "machine", wk.Machine, "rack", wk.Rack, "draining", wk.Draining, "taken", ans.Applied,
-		"reason", ans.Reason)
+		"address", wk.Address, "machine", wk.Machine, "rack", wk.Rack, "draining", wk.Draining, "taken", joined.Applied,
+		"reason", joined.Reason)
+	for _, res := range results {
+		sv.Scheduler.LogCrash(wk, res)
+	}
 	sv.Scheduler.Wake()
-	return jobapi.Reply{Outcome: jobapi.OK, Reason: ans.Reason}
+	return jobapi.Reply{Outcome: jobapi.OK, Reason: joined.Reason}
 }
 
 // depart removes a worker that announced its shutdown.
--- a/internal/job/scheduler/committer.go
+++ b/internal/job/scheduler/committer.go
@@ -138,6 +138,12 @@
 	return results[0], nil
 }
 
+// CommitEach is like Commit for several changes, which are applied in one entry.
+// It returns a result for each.
+func (cm *Committer) CommitEach(ctx context.Context, changes []store.Change) ([]store.Result, error) {
+	return cm.commitAll(ctx, changes)
+}
+
 // CommitAll is like Commit for several changes, which are applied in one entry.
 func (cm *Committer) CommitAll(ctx context.Context, changes []store.Change) error {
 	_, err := cm.commitAll(ctx, changes)
--- a/internal/job/scheduler/ends.go
+++ b/internal/job/scheduler/ends.go
@@ -70,7 +70,11 @@
 		"announcedAgo", now.Sub(ws.announcedAt).String())
 	var changes []store.Change
 	sc.Store.Read(func(rd store.Reader) { changes = sc.leaveChanges(ls, rd, wk, "lease lapsed") })
-	ws.removalInFlight = sc.Committer.Submit(changes, func([]store.Result, error) {
+	changes[len(changes)-1].Leave.Recent = ws.session.RecentStarts()
+	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, _ error) {
+		for _, res := range results {
+			sc.LogCrash(wk, res)
+		}
 		sc.mu.Lock()
 		ws.removalInFlight = false
 		sc.mu.Unlock()
@@ -98,6 +102,39 @@
 	return append(changes, store.Change{Leave: &store.WorkerLeave{ID: wk.ID, Incarnation: wk.Incarnation, Reason: reason}})
 }
 
+// LogCrash logs the jobs that have failed because of a worker on the machine of
+// the given one, and has what is left of their runs stopped.
+func (sc *Scheduler) LogCrash(wk store.Worker, res store.Result) {
+	if res.CrashedRuns > 0 {
+		_ = sc.Logger.Log("level", "warn", "msg", "worker crashed", "machine", wk.Machine, "seenBy", wk.ID, "runs", res.CrashedRuns)
+	}
+	for _, id := range res.GivenUp {
+		_ = sc.Logger.Log("level", "warn", "msg", "job given up", "job", id, "machine", wk.Machine,
+			"reason", "workers crash right after they start one of its tasks")
+		sc.WakeJob(id)
+	}
+}
+
+// JoinChanges returns the changes that register a worker. If it takes the place of
+// another, which has therefore ended, they name the runs that were on that one.
+func (sc *Scheduler) JoinChanges(wk store.Worker) []store.Change {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	var changes []store.Change
+	if sc.leader != nil {
+		for id, ws := range sc.leader.sessions {
+			same := id == wk.ID || (wk.Machine != "" && ws.worker.Machine == wk.Machine)
+			if !same || ws.worker.Incarnation >= wk.Incarnation {
+				continue
+			}
+			if runs := ws.session.RecentStarts(); len(runs) > 0 {
+				changes = append(changes, store.Change{Crash: &store.WorkerCrash{ID: id, Incarnation: ws.worker.Incarnation, Recent: runs}})
+			}
+		}
+	}
+	return append(changes, store.Change{Join: &wk})
+}
+
 // DeregisterWorker ends the incarnation of a worker that asked to leave. It
 // reports false if this process does not lead, does not know the worker, or has
 // not been told that it drains. The call names no incarnation, so that without a
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -211,6 +211,7 @@
 			ref.Index = ix
 			gr.Tasks = append(gr.Tasks, placement.Task{
 				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
+				Suspect: tk.Crashes > 0,
 			})
 		}
 	}
@@ -249,12 +250,34 @@
 // workerView is a worker as seen by the placement.
 type workerView = placement.Worker
 
+// isolationTime is how long a worker on which a suspect task was started gets no
+// tasks of other jobs.
+const isolationTime = 300 * time.Millisecond
+
+// suspectRuns returns the jobs with suspect tasks on each worker, and the job of a
+// suspect task that was started there within isolationTime.
+func (sc *Scheduler) suspectRuns(rd store.Reader) (jobs map[weir.InstanceID]map[weir.JobID]bool, reserved map[weir.InstanceID]weir.JobID) {
+	jobs, reserved = map[weir.InstanceID]map[weir.JobID]bool{}, map[weir.InstanceID]weir.JobID{}
+	wall := sc.Wall.Now()
+	rd.EachSuspectRun(func(job weir.JobID, worker weir.InstanceID, started time.Time) {
+		if jobs[worker] == nil {
+			jobs[worker] = map[weir.JobID]bool{}
+		}
+		jobs[worker][job] = true
+		if wall.Sub(started) < isolationTime {
+			reserved[worker] = job
+		}
+	})
+	return jobs, reserved
+}
+
 // usableWorkers returns the workers that can take tasks of the given jobs now.
 func (sc *Scheduler) usableWorkers(ls *leaderState, rd store.Reader, now time.Time, jobs []pendingJob) []placement.Worker {
 	pools := map[weir.PoolName]bool{}
 	for _, dm := range jobs {
 		pools[dm.queue.Pool] = true
 	}
+	suspects, reserved := sc.suspectRuns(rd)
 	workers := make([]placement.Worker, 0, len(ls.sessions))
 	for id, ws := range ls.sessions {
 		if !pools[ws.worker.Pool] {
@@ -268,7 +291,7 @@
 		if hl.inBackoff(now) {
 			continue
 		}
-		pw := placement.Worker{ID: id, Incarnation: wk.Incarnation, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Free: wk.Capacity, Suspect: hl.suspect(now)}
+		pw := placement.Worker{ID: id, Incarnation: wk.Incarnation, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Suspect: hl.suspect(now), SuspectJobs: suspects[id], ReservedFor: reserved[id]}
 		load := rd.WorkerLoad(id)
 		pw.Free, pw.Serving, pw.BestEffort = wk.Capacity.Minus(load.Used), load.Serving, load.BestEffort
 		workers = append(workers, pw)
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -24,6 +24,7 @@
 	Cancel  *spec.JobID       `json:"can,omitempty"`
 	Join    *Worker           `json:"join,omitempty"`
 	Leave   *WorkerLeave      `json:"leave,omitempty"`
+	Crash   *WorkerCrash      `json:"crash,omitempty"`
 	Start   *RunStart         `json:"st,omitempty"`
 	End     *RunEnd           `json:"end,omitempty"`
 	Forget  []spec.JobID      `json:"forget,omitempty"`
@@ -71,6 +72,18 @@
 	// Departed says that the worker itself announced its end, so that this
 	// incarnation never comes back.
 	Departed bool `json:"gone,omitempty"`
+	// Recent holds, if its lease has lapsed, the runs that the worker confirmed to
+	// have started right before it fell silent. It has crashed or is cut off.
+	Recent []RunKey `json:"recent,omitempty"`
+}
+
+// WorkerCrash says that a worker's incarnation has ended without an order, as its
+// successor shows. Recent holds the runs that it confirmed to have started right
+// before.
+type WorkerCrash struct {
+	ID          weir.InstanceID `json:"id"`
+	Incarnation int64           `json:"born"`
+	Recent      []RunKey        `json:"recent"`
 }
 
 // RunStart records the intent to start a run. It is committed before the order
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// EachSuspectRun calls do for each run that may be on a worker and whose task has
+// had a worker crash under it, with the time at which its start was committed.
+func (rd Reader) EachSuspectRun(do func(job spec.JobID, worker weir.InstanceID, started time.Time)) {
+	for id := range rd.st.Suspects {
+		for _, steps := range rd.st.Jobs[id].Occurrences {
+			for sp := range steps {
+				for ix := range steps[sp].Tasks {
+					if tk := &steps[sp].Tasks[ix]; tk.Crashes > 0 && tk.Placed() {
+						do(id, tk.Worker, tk.StartedAt)
+					}
+				}
+			}
+		}
+	}
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (rd Reader) Pending(queue string) int { return len(rd.st.ByQueue[queue]) }
 
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -39,6 +39,10 @@
 	FailedRun int `json:"fr,omitempty"`
 	// Checkpoint is the checkpoint that the next run resumes from.
 	Checkpoint string `json:"cp,omitempty"`
+	// Crashes counts the workers that have crashed right after they started the
+	// task, and CrashedRun is the last run that counted.
+	Crashes    int `json:"cr,omitempty"`
+	CrashedRun int `json:"crr,omitempty"`
 	// StartedAt is when the start of the latest run was committed, EndedAt when
 	// its end was.
 	StartedAt time.Time `json:"sa,omitzero"`
@@ -177,7 +181,12 @@
 	MachineOperations map[string]*MachineOperation `json:"orders"`
 	// Departed holds the last incarnation of workers that have left, so that a
 	// delayed announcement does not bring one back.
-	Departed map[weir.InstanceID]departure                 `json:"departed,omitempty"`
+	Departed map[weir.InstanceID]departure `json:"departed,omitempty"`
+	// Lapsed holds the runs that were lost when a worker's lease lapsed, by
+	// machine, until the machine's next worker tells whether it had crashed.
+	Lapsed map[string]lapse `json:"lapsed,omitempty"`
+	// Suspects holds the active jobs with a task under which a worker has crashed.
+	Suspects map[spec.JobID]bool                           `json:"-"`
 	Active   map[spec.JobID]bool                           `json:"-"`
 	ByQueue  map[string]map[spec.JobID]bool                `json:"-"`
 	Runs     map[weir.InstanceID]map[RunKey]spec.Resources `json:"-"`
@@ -224,7 +233,7 @@
 func newState() *state {
 	st := &state{
 		Jobs: map[spec.JobID]*JobState{}, Workers: map[weir.InstanceID]*Worker{},
-		Waves: map[int64]*Wave{}, MachineOperations: map[string]*MachineOperation{}, Departed: map[weir.InstanceID]departure{},
+		Waves: map[int64]*Wave{}, MachineOperations: map[string]*MachineOperation{}, Departed: map[weir.InstanceID]departure{}, Lapsed: map[string]lapse{},
 	}
 	st.rebuildIndexes()
 	return st
@@ -233,6 +242,10 @@
 // rebuildIndexes derives the fields that a snapshot does not hold.
 func (st *state) rebuildIndexes() {
 	st.Active = map[spec.JobID]bool{}
+	st.Suspects = map[spec.JobID]bool{}
+	if st.Lapsed == nil {
+		st.Lapsed = map[string]lapse{}
+	}
 	st.ByQueue = map[string]map[spec.JobID]bool{}
 	st.Runs = map[weir.InstanceID]map[RunKey]spec.Resources{}
 	st.Loads = map[weir.InstanceID]WorkerLoad{}
@@ -246,6 +259,9 @@
 			for sp := range steps {
 				for ix := range steps[sp].Tasks {
 					tk := &steps[sp].Tasks[ix]
+					if tk.Crashes > 0 {
+						st.Suspects[id] = true
+					}
 					if tk.Placed() {
 						st.addRun(js, spec.TaskRef{Job: id, Occurrence: oc, Step: sp, Index: ix}, tk)
 					}
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -41,6 +41,10 @@
 	// Reason says why the change was refused, or "known" if the state contained
 	// it before.
 	Reason string
+	// CrashedRuns counts the runs under which the change showed a worker to have
+	// crashed, GivenUp holds the jobs that have failed for it.
+	CrashedRuns int
+	GivenUp     []spec.JobID
 }
 
 var applied = Result{Applied: true}
@@ -159,6 +163,8 @@
 		return st.applyJoin(at, ch.Join)
 	case ch.Leave != nil:
 		return st.applyLeave(at, ch.Leave)
+	case ch.Crash != nil:
+		return st.applyCrash(at, ch.Crash)
 	case ch.Start != nil:
 		return st.applyStart(at, ch.Start)
 	case ch.End != nil:
@@ -237,6 +243,7 @@
 	js.Spec.Text = ""
 	js.Spec.Steps = nil
 	delete(st.Active, js.Spec.ID)
+	delete(st.Suspects, js.Spec.ID)
 }
 
 func (st *state) applyForget(ids []spec.JobID) Result {
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -35,7 +35,7 @@
 	fresh.Restarted = old != nil && (old.Restarted || old.Incarnation != wk.Incarnation)
 	st.Workers[wk.ID] = &fresh
 	st.WorkerRevision++
-	return applied
+	return st.recordCrash(at, st.takeLapsed(wk))
 }
 
 // reassignRuns moves the runs of an earlier incarnation to the new incarnation of
@@ -53,11 +53,17 @@
 	if wk == nil || wk.Incarnation != lv.Incarnation {
 		return refused("not the current incarnation")
 	}
+	res := applied
+	if len(lv.Recent) > 0 && wk.Machine != "" && st.unplanned(wk) {
+		lp := st.lastStarted(wk, lv.Recent)
+		st.Lapsed[wk.Machine] = lp
+		res = st.recordCrash(at, st.provenIn(lp))
+	}
 	st.removeWorker(at, wk)
 	if lv.Departed {
 		st.recordDeparture(at, lv)
 	}
-	return applied
+	return res
 }
 
 // departure is when an incarnation of a worker left for good.
@@ -111,6 +117,7 @@
 		}
 		fresh := *op
 		st.MachineOperations[op.Machine] = &fresh
+		delete(st.Lapsed, op.Machine) // its next worker will be there by order
 		return applied
 	}
 	delete(st.MachineOperations, op.Machine)
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -32,6 +32,8 @@
 	AvoidWorker weir.InstanceID
 	// WaitingSince is when the job was accepted or the task's last run ended.
 	WaitingSince time.Time
+	// Suspect is set if a worker has crashed soon after it started the task.
+	Suspect bool
 }
 
 // spreadWait is how long a long-running task waits for a worker with fewer tasks
@@ -73,8 +75,15 @@
 	// tasks that use only resources left over by others.
 	Serving    int
 	BestEffort int
-	// Suspect workers are used only if no other worker fits.
-	Suspect bool
+	// Suspect workers are used only if no other worker fits, as are those with
+	// suspect tasks, which SuspectJobs holds the jobs of.
+	Suspect     bool
+	SuspectJobs map[weir.JobID]bool
+	// ReservedFor is the job of a suspect task that was started a moment ago: if the
+	// worker crashes, no other job must come into question.
+	ReservedFor weir.JobID
+
+	used weir.JobID // the job that was last placed here
 }
 
 // Placement is the start of one run on a worker.
@@ -151,11 +160,14 @@
 	rack := chooseRack(gr, po.workers)
 	var out []Placement
 	for _, tk := range gr.Tasks {
-		wk := po.choose(gr, tk, on, rack)
+		wk := po.choose(now, gr, tk, on, rack)
+		if wk == nil && tk.Suspect {
+			continue
+		}
 		if wk == nil || (gr.exceedsMaxUnavailable(on[wk.ID]) && tk.waitsForSpread(now)) {
 			break
 		}
-		po.reserve(wk, gr.Spec)
+		po.reserve(wk, gr, tk)
 		on[wk.ID]++
 		out = append(out, Placement{Task: gr.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation})
 	}
@@ -222,6 +234,9 @@
 
 func (wk *Worker) accepts(gr Group, on map[weir.InstanceID]int) bool {
 	st := gr.Spec
+	if wk.ReservedFor != "" && wk.ReservedFor != gr.Step.Job {
+		return false
+	}
 	if _, ok := gr.AllowedWorkers[wk.ID]; gr.AllowedWorkers != nil && !ok {
 		return false
 	}
@@ -250,7 +265,7 @@
 
 // better reports whether one worker suits a task better than another.
 func better(gr Group, tk Task, on map[weir.InstanceID]int, rack string, one, other *Worker) bool {
-	if order := compareBool(one.Suspect || one.ID == tk.AvoidWorker, other.Suspect || other.ID == tk.AvoidWorker); order != 0 {
+	if order := compareBool(one.avoided() || one.ID == tk.AvoidWorker, other.avoided() || other.ID == tk.AvoidWorker); order != 0 {
 		return order < 0
 	}
 	if order := compareBool(one.Rack != rack, other.Rack != rack); rack != "" && order != 0 {
@@ -297,6 +312,9 @@
 	return waited >= 0 && waited < spreadWait
 }
 
+// avoided reports whether other workers are preferred.
+func (wk *Worker) avoided() bool { return wk.Suspect || len(wk.SuspectJobs) > 0 }
+
 // pinned reports whether long-running tasks prevent the worker's machine from
 // moving to another pool.
 func (wk *Worker) pinned() bool { return wk.Serving+wk.BestEffort > 0 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -39,6 +39,9 @@
 const (
 	// oneWayLatency is the network latency in each direction.
 	oneWayLatency = 500 * time.Microsecond
+	// crashDelay is the time from the start of a run that crashes its worker to the
+	// crash.
+	crashDelay = 10 * time.Millisecond
 )
 
 // Machine describes a machine of the fleet.
@@ -55,6 +58,10 @@
 	Clock weir.Clock
 	// Task returns the simulated work of a run at its start; it must not block.
 	Task func(order weir.StartOrder) taskworker.Task
+	// Crashes reports whether a run crashes its worker right after its start; nil
+	// means that none does. CrashTime is how long the worker is down then.
+	Crashes   func(order weir.StartOrder) bool
+	CrashTime time.Duration
 	// OnWorkerUp is called with each worker that has started.
 	OnWorkerUp func(wk store.Worker)
 	// StandbyPool is the pool whose machines are powered off.
@@ -123,7 +130,7 @@
 	mc.incarnation++
 	now := fl.Clock.Now()
 	mc.workerID = weir.InstanceID(fmt.Sprintf("%s-%d", mc.Name, mc.incarnation))
-	fl.workers[mc.workerID] = &taskworker.Worker{ID: mc.workerID, Born: now.UnixMilli(), Clock: fl.Clock, Task: fl.Task, Capacity: mc.Capacity}
+	fl.workers[mc.workerID] = &taskworker.Worker{ID: mc.workerID, Born: now.UnixMilli(), Clock: fl.Clock, Task: fl.runOn(mc, mc.workerID), Capacity: mc.Capacity}
 	wk := store.Worker{
 		ID: mc.workerID, Incarnation: now.UnixMilli(), Machine: mc.Name, Pool: mc.Pool, Address: string(mc.workerID), Rack: mc.Rack, Capacity: mc.Capacity,
 	}
@@ -131,6 +138,26 @@
 	fl.OnWorkerUp(wk)
 }
 
+// runOn returns the simulated work of runs on a worker. Some crash it.
+func (fl *Fleet) runOn(mc *machine, id weir.InstanceID) func(order weir.StartOrder) taskworker.Task {
+	return func(order weir.StartOrder) taskworker.Task {
+		if fl.Crashes != nil && fl.Crashes(order) {
+			time.AfterFunc(crashDelay, func() { fl.crashWorker(mc, id) })
+		}
+		return fl.Task(order)
+	}
+}
+
+// crashWorker crashes a worker unless it has stopped already.
+func (fl *Fleet) crashWorker(mc *machine, id weir.InstanceID) {
+	fl.mu.Lock()
+	current := mc.workerID == id
+	fl.mu.Unlock()
+	if current {
+		fl.Crash(mc.Name, fl.CrashTime)
+	}
+}
+
 // stopWorker stops a machine's worker with all its runs. The lock must be held.
 func (fl *Fleet) stopWorker(mc *machine) {
 	wk := fl.workers[mc.workerID]
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -45,6 +45,8 @@
 	// MemoryGB is the mean memory of a task, LongRunningMemoryGB that of a
 	// long-running one; 0 means that it needs next to none.
 	MemoryGB, LongRunningMemoryGB float64
+	// CrashingShare is the share of jobs with a task that crashes its worker.
+	CrashingShare float64
 }
 
 // Wave is planned maintenance of a share of the machines. It starts at At, and its
@@ -86,6 +88,8 @@
 	MoveTime time.Duration
 	Waves    []Wave
 	Crashes  []Crash
+	// CrashTime is how long a worker is down that was crashed by a task.
+	CrashTime time.Duration
 	// MachineCost is the cost of a machine in a pool for one second, MoveCost
 	// that of one move, both as shares of the total worth of all jobs.
 	MachineCost, MoveCost float64
@@ -141,6 +145,15 @@
 	return ld
 }
 
+// Crashing returns a load in which some jobs of one pool have a task that crashes
+// each worker that starts it.
+func Crashing() Load {
+	ld := Small()
+	ld.Name, ld.CrashTime = "crashing", 3200*time.Millisecond
+	ld.Pools[0].CrashingShare = 0.05
+	return ld
+}
+
 // WithTrouble returns the load with a maintenance wave over almost half of the
 // machines and two crashes.
 func (ld Load) WithTrouble() Load {
@@ -154,7 +167,7 @@
 
 // loads returns all named loads.
 func loads() []Load {
-	return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble(), Memory()}
+	return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble(), Memory(), Crashing()}
 }
 
 // LoadNames returns the names that LoadByName accepts.
@@ -217,6 +230,8 @@
 	// the core-seconds of all tasks.
 	criticalPath time.Duration
 	work         float64
+	// crashing is set if the first task crashes each worker that starts it.
+	crashing bool
 }
 
 const (
@@ -271,6 +286,7 @@
 		pd.job.Steps = append(pd.job.Steps, st)
 		pd.durations = append(pd.durations, lengths)
 	}
+	pd.crashing = po.CrashingShare > 0 && rng.Float64() < po.CrashingShare
 	return pd
 }
 
--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -128,6 +128,8 @@
 
 	mu          sync.Mutex
 	firstStarts map[weir.JobID]time.Time
+	// crashStarts counts the starts of each task that crashes its worker.
+	crashStarts map[weir.TaskRef]int
 }
 
 // Run runs the load and returns its result.
@@ -135,7 +137,7 @@
 	if si.Logger == nil {
 		si.Logger = log.NewNopLogger()
 	}
-	sr := &simulationRun{Simulation: si, store: store.New(), jobs: si.Load.drawJobs(si.Seed), planned: map[weir.JobID]plannedJob{}, jobSteps: map[weir.JobID][]spec.Step{}, firstStarts: map[weir.JobID]time.Time{}}
+	sr := &simulationRun{Simulation: si, store: store.New(), jobs: si.Load.drawJobs(si.Seed), planned: map[weir.JobID]plannedJob{}, jobSteps: map[weir.JobID][]spec.Step{}, firstStarts: map[weir.JobID]time.Time{}, crashStarts: map[weir.TaskRef]int{}}
 	for _, pd := range sr.jobs {
 		sr.planned[pd.job.ID], sr.jobSteps[pd.job.ID] = pd, pd.job.Steps
 	}
@@ -173,7 +175,7 @@
 	com := &scheduler.Committer{Log: &delayedLog{store: sr.store}, Wall: sr.clock}
 	sr.fleet = &fleet.Fleet{
 		Clock: sr.clock, Task: sr.task, OnWorkerUp: func(wk store.Worker) { sr.announce(ctx, wk) }, StandbyPool: standby,
-		MoveTime: sr.Load.MoveTime, MaintenanceTime: 2 * time.Second,
+		MoveTime: sr.Load.MoveTime, MaintenanceTime: 2 * time.Second, Crashes: sr.crashes, CrashTime: sr.Load.CrashTime,
 	}
 	own := &scheduler.Scheduler{
 		Store: sr.store, Committer: com, Leadership: soleLeader{}, Workers: sr.fleet, Clock: sr.clock, Wall: sr.clock, Logger: sr.Logger,
@@ -200,6 +202,17 @@
 	return out
 }
 
+// crashes reports whether a run crashes its worker, and counts those that do.
+func (sr *simulationRun) crashes(order weir.StartOrder) bool {
+	if !sr.planned[order.Task.Job].crashing || order.Task != (weir.TaskRef{Job: order.Task.Job}) {
+		return false
+	}
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.crashStarts[order.Task]++
+	return true
+}
+
 // recordStart records the first start of a job.
 func (sr *simulationRun) recordStart(task weir.TaskRef, at time.Time) {
 	sr.mu.Lock()
--- a/internal/standin/play/play_test.go
+++ b/internal/standin/play/play_test.go
@@ -59,6 +59,18 @@
 	require.Less(t, res.LongestStartDelay, maxIdleWait)
 }
 
+// TestTaskThatCrashesWorkersIsGivenUp guards against starting it on worker after
+// worker, and against failing the jobs that ran beside it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for seed := range int64(5) {
+		res := runSimulated(t, Crashing(), PolicyScheduler, seed+1)
+		require.Less(t, res.MostCrashes, 6, "three crashes and fewer than three further starts")
+		require.Positive(t, res.MostCrashes)
+		require.Zero(t, res.CrashingLeft, "the job is shown as failed")
+		require.Zero(t, res.WronglyFailed)
+	}
+}
+
 func TestNamedLoads(t *testing.T) {
 	for _, name := range LoadNames() {
 		ld, err := LoadByName(name)
--- a/internal/standin/play/result.go
+++ b/internal/standin/play/result.go
@@ -47,8 +47,12 @@
 	// WaveDone is the share of the machines of the wave whose maintenance started
 	// in time.
 	WaveDone float64
-	Counts   fleet.Counts
-	Samples  []Sample
+	// MostCrashes is how often the task that crashed most workers was started.
+	// WronglyFailed counts jobs without such a task that are shown as failed,
+	// CrashingLeft those with one that are not.
+	MostCrashes, WronglyFailed, CrashingLeft int
+	Counts                                   fleet.Counts
+	Samples                                  []Sample
 }
 
 // Sample is the state of the fleet at a time: the cores of machines in pools, and
@@ -80,6 +84,10 @@
 	means := sr.meanWork()
 	sr.store.Read(func(rd store.Reader) {
 		for _, pd := range sr.jobs {
+			sr.countCrashing(&res, pd, rd.Job(pd.job.ID))
+			if pd.crashing {
+				continue // earns nothing, and is not owed
+			}
 			worth := min(maxWorth, minWorth+worthPerWork*pd.work/means[pd.pool.Name]) * pd.pool.Worth
 			earned := 0.0
 			if js := rd.Job(pd.job.ID); js != nil {
@@ -122,6 +130,20 @@
 	return res
 }
 
+// countCrashing records what became of a job, as far as crashes are concerned.
+func (sr *simulationRun) countCrashing(res *Result, pd plannedJob, js *store.JobState) {
+	failed := js != nil && js.Phase == store.Failed
+	switch {
+	case pd.crashing && !failed:
+		res.CrashingLeft++
+	case !pd.crashing && failed:
+		res.WronglyFailed++
+	}
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	res.MostCrashes = max(res.MostCrashes, sr.crashStarts[weir.TaskRef{Job: pd.job.ID}])
+}
+
 // meanWork returns the mean work of the jobs of each pool, in core-seconds.
 func (sr *simulationRun) meanWork() map[weir.PoolName]float64 {
 	sums, counts := map[weir.PoolName]float64{}, map[weir.PoolName]float64{}
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,6 +58,9 @@
 	maxListedEnds = 500
 	// fullSpeed is the percentage that a long-running task reports at full speed.
 	fullSpeed = 100
+	// crashSpan is how long before a worker falls silent a run may have been
+	// started that crashed it. A silent worker is noticed within a renewal.
+	crashSpan = 2 * time.Second
 	// concurrentOrders is the number of orders in flight to one worker.
 	concurrentOrders = 3
 	// orderQueueLength bounds the queued orders. A worker runs far fewer tasks.
@@ -262,6 +266,23 @@
 	return ss.lastReport.recvAt, running
 }
 
+// RecentStarts returns the wanted runs that the worker confirmed to have started
+// no longer than crashSpan before it fell silent, and has not listed as ended.
+func (ss *Session) RecentStarts() []weir.RunKey {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	var out []weir.RunKey
+	for key, rn := range ss.runs {
+		started := !rn.sentAt.IsZero() && !rn.answeredAt.IsZero() && rn.refusal == weir.RefusedNone
+		recent := ss.unreachableSince.IsZero() || ss.unreachableSince.Sub(rn.sentAt) <= crashSpan
+		ended := slices.ContainsFunc(ss.ends, func(en weir.RunEnd) bool { return en.RunKey == key })
+		if started && recent && !ended && !rn.unwanted {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // AtFullSpeed reports whether the worker is reachable and its last report lists
 // a long-running task at full speed.
 func (ss *Session) AtFullSpeed(key weir.RunKey) bool {
