--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -121,6 +121,18 @@
 mutant order-delay-after-election $J/scheduler/machines.go 's/return now.Sub(last) >= sc.MachineOrderDelay/return true/' ./$J/scheduler
 mutant prior-leases-count $J/scheduler/scheduler.go 's/PriorLeaseExpiry: ls.since.Add(.*$/PriorLeaseExpiry: ls.since,/' ./$J/scheduler
 mutant unanswered-start-is-stopped $T/decide.go 's/case rn.answeredAt.IsZero() \&\& !rn.sentAt.IsZero() \&\& now.Sub(rn.sentAt) < 2\*orderTimeout:/case rn.answeredAt.IsZero() \&\& rn.sentAt.IsZero():\n\t\treturn decisionLost\n\tcase false:/' ./$J/scheduler
+mutant ready-needs-majority internal/entry/relay/relay.go 's/ready := 2\*reachable > len(electorate) ||/ready := reachable > 0 ||/' ./internal/entry/relay
+mutant cut-off-answers-at-once internal/entry/relay/relay.go 's/ctx.Err() != nil || !rl.Ready() || (/ctx.Err() != nil || (/' ./internal/entry/relay
+mutant memory-counts internal/capacity/balance/balance.go 's/return rs.MemoryMB }/return 0 }/' ./internal/capacity/balance
+mutant stuck-tasks-call-machines internal/capacity/balance/balance.go 's/need = max(need, ld.Usable+ceilDiv(stuck, capacity))/_ = stuck/' ./internal/capacity/balance
+mutant planned-end-is-no-crash $J/store/crash.go 's/return !wk.Draining \&\& .*$/return true/' ./$J/store
+mutant cut-is-no-crash $J/store/crash.go 's/if wk.Incarnation == lp.Incarnation {/if false {/' ./$J/store
+mutant last-started-comes-into-question $J/store/crash.go 's/here \&\& latest.Sub(st.startedAt(key)) <= startSpread/here/' ./$J/store
+mutant one-job-in-question $J/store/crash.go 's/(lp.Sole \&\& tk.Crashes/(tk.Crashes/' ./$J/store
+mutant crashes-are-bounded $J/store/crash.go 's/tk.Crashes >= maxCrashes || //' ./$J/store
+mutant suspects-are-kept-apart internal/schedule/placement/pool.go 's/shared := .*$/shared := false/' ./internal/schedule/placement
+mutant suspects-start-alone internal/schedule/placement/placement.go 's/if wk.ReservedFor != "" \&\& /if false \&\& /' ./internal/schedule/placement
+mutant crash-needs-confirmed-start $T/session.go 's/started := .*answeredAt.IsZero() \&\& /started := /' ./$T ./$J/scheduler
 if [ $MISSED -ne 0 ]; then
   echo "mutants: some rules are not missed"
   exit 1
