--- a/internal/job/store/crash_test.go
+++ b/internal/job/store/crash_test.go
@@ -12,15 +12,6 @@
 	weir "greengageweir"
 )
 
-func (fx *fixture) applyAt(at time.Time, ch Change) Result {
-	data, err := Entry{At: at, Changes: []Change{ch}}.Encode()
-	require.NoError(fx.t, err)
-	fx.index++
-	answers, ok := fx.sr.Apply(fx.index, data).([]Result)
-	require.True(fx.t, ok)
-	return answers[0]
-}
-
 // startAt starts a run on an incarnation of a worker.
 func (fx *fixture) startAt(at time.Time, job string, run, worker int, incarnation int64) RunKey {
 	sa := start(job, 0, 0, run, worker)
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -49,8 +49,10 @@
 	}
 }
 
-func (fx *fixture) apply(ch Change) Result {
-	data, err := Entry{At: testNow, Changes: []Change{ch}}.Encode()
+func (fx *fixture) apply(ch Change) Result { return fx.applyAt(testNow, ch) }
+
+func (fx *fixture) applyAt(at time.Time, ch Change) Result {
+	data, err := Entry{At: at, Changes: []Change{ch}}.Encode()
 	require.NoError(fx.t, err)
 	fx.index++
 	answers, ok := fx.sr.Apply(fx.index, data).([]Result)
