fix: tasks that are late already hold no machines that others need in time

Cause: tasks that can no longer meet their objective counted like others when machines are shared out. The pool of the last turn lacked machines for its backlog, so that it had none to lend, and kept all its machines busy with it. Class of fault: two parts of one decision with different orders of urgency (placement puts late tasks last, capacity did not). Change: a pool wants machines for what can be in time first (Desired), and for late tasks (WithLate) only once no pool lacks any and nothing is drained for one. Before: the cases of TestDecide with the late tasks in Desired move nothing.

--- a/internal/capacity/balance/balance.go
+++ b/internal/capacity/balance/balance.go
@@ -107,6 +107,10 @@
 	Desired      int
 	LendFloor    int
 	ReleaseFloor int
+	// WithLate is the number of machines that the pool needs if it is also to run
+	// the tasks that can no longer meet their objective. It gets those beyond
+	// Desired only from pools that have them to spare once no pool lacks any.
+	WithLate int
 }
 
 // Machine is a machine with its pool and load.
@@ -154,28 +158,36 @@
 			return cmp.Or(cmp.Compare(one.Runs, other.Runs), cmp.Compare(one.Name, other.Name))
 		})
 	}
-	lack := 0
-	for {
-		needy, short := ba.largestShortage()
-		if needy < 0 {
-			break
-		}
-		if !ba.supply(ba.pools[needy].Name) {
-			lack = short
-			break
-		}
+	ba.drainDonors(ba.supplyAll(func(po Pool) int { return po.Desired }))
+	for ix := range ba.pools {
+		// From here on, no pool gives up what its late tasks need.
+		po := &ba.pools[ix]
+		po.LendFloor, po.ReleaseFloor = max(po.LendFloor, po.WithLate), max(po.ReleaseFloor, po.WithLate)
+	}
+	if len(ba.decision.Draining) == 0 {
+		ba.supplyAll(func(po Pool) int { return po.WithLate })
 	}
-	ba.drainDonors(lack)
 	ba.releaseSurplus()
 	return ba.decision
 }
 
+// supplyAll moves idle machines to the pools that lack some of those they want,
+// and returns how many are lacking in the end.
+func (ba *balancer) supplyAll(wanted func(po Pool) int) int {
+	for {
+		needy, lack := ba.largestShortage(wanted)
+		if needy < 0 || !ba.supply(ba.pools[needy].Name) {
+			return lack
+		}
+	}
+}
+
 // largestShortage returns the index of the pool that lacks most machines and how
 // many it lacks, -1 if no pool lacks any.
-func (ba *balancer) largestShortage() (best, lack int) {
+func (ba *balancer) largestShortage(wanted func(po Pool) int) (best, lack int) {
 	best = -1
 	for ix, po := range ba.pools {
-		if short := po.Desired - len(ba.byPool[po.Name]); !po.Standby && short > lack {
+		if short := wanted(po) - len(ba.byPool[po.Name]); !po.Standby && short > lack {
 			best, lack = ix, short
 		}
 	}
--- a/internal/capacity/balance/balance_test.go
+++ b/internal/capacity/balance/balance_test.go
@@ -54,6 +54,12 @@
 	return Pool{Name: weir.PoolName(name), Desired: want, LendFloor: lend, ReleaseFloor: keep}
 }
 
+// late returns a pool that needs more machines if it is to run its late tasks.
+func late(po Pool, withLate int) Pool {
+	po.WithLate = withLate
+	return po
+}
+
 var standby = Pool{Name: "off", Standby: true}
 
 // flows counts moves by source and target pool.
@@ -114,6 +120,24 @@
 			map[string]int{"a>off": 1},
 			1,
 		},
+		"late tasks hold no machines that another pool needs": {
+			[]Pool{pool("a", 4, 4, 4), late(pool("b", 1, 1, 1), 6)},
+			[][]Machine{machines("a", 0, 2, 0), machines("b", 1, 5, 0)},
+			map[string]int{"b>a": 1},
+			1,
+		},
+		"late tasks get the machines that nobody needs": {
+			[]Pool{late(pool("a", 1, 1, 1), 4), pool("b", 1, 1, 1), standby},
+			[][]Machine{machines("a", 0, 1, 0), machines("b", 2, 0, 0), machines("off", 5, 0, 0)},
+			map[string]int{"b>a": 1, "off>a": 2},
+			0,
+		},
+		"late tasks keep machines from standby": {
+			[]Pool{late(pool("a", 1, 1, 1), 3), standby},
+			[][]Machine{machines("a", 4, 0, 0)},
+			map[string]int{"a>off": 1},
+			0,
+		},
 		"no release without a standby pool": {
 			[]Pool{pool("a", 1, 1, 1)},
 			[][]Machine{machines("a", 4, 0, 0)},
--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengageweir/internal/capacity/balance"
+	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
 
@@ -64,7 +65,7 @@
 // rebalance moves machines to the pools that need them.
 func (sc *Scheduler) rebalance(ls *leaderState, rd store.Reader, byMachine map[string]store.Worker, now time.Time) {
 	mst := ls.machines
-	loads := sc.poolLoads(ls, rd, now)
+	loads, withLate := sc.poolLoads(ls, rd, now)
 	machines := sc.balanceMachines(ls, rd, byMachine, now)
 	have := map[weir.PoolName]int{}
 	cordoned := map[weir.PoolName]int{}
@@ -81,6 +82,7 @@
 		if !po.Standby {
 			// Cordoned machines take no tasks.
 			pl.Desired = balance.MachinesNeeded(loads[po.Name]) + cordoned[po.Name]
+			pl.WithLate = balance.MachinesNeeded(withLate[po.Name]) + cordoned[po.Name]
 			pl.LendFloor, pl.ReleaseFloor = mst.peakDemand(po.Name, pl.Desired, now)
 			if now.Sub(ls.since) < balance.ReleaseHold {
 				// A new leader does not know the pool's recent demand yet.
@@ -96,10 +98,10 @@
 		mst.draining[name] = true
 	}
 	for _, mv := range dec.Moves {
-		load := loads[mv.TargetPool]
+		load := withLate[mv.TargetPool]
 		_ = sc.Logger.Log("level", "info", "msg", "machine move submitted", "machine", mv.Machine, "to", mv.TargetPool, "have", have[mv.TargetPool],
 			"busy", load.Busy.String(), "waiting", load.Waiting.String(), "rate", load.ArrivalRate.String(),
-			"lasting", load.LongRunning.String(), "stuck", load.Stuck.String())
+			"lasting", load.LongRunning.String(), "stuck", load.Stuck.String(), "waitingInTime", loads[mv.TargetPool].Waiting.String())
 		mst.lastOrderAt[mv.Machine] = time.Time{}
 		sc.commitOperation(ls, store.MachineOperation{Machine: mv.Machine, Pool: mv.TargetPool}, byMachine[mv.Machine])
 	}
@@ -123,10 +125,12 @@
 	return lendFloor, releaseFloor
 }
 
-// poolLoads returns the load that the queues of each pool put on it.
-func (sc *Scheduler) poolLoads(ls *leaderState, rd store.Reader, now time.Time) map[weir.PoolName]balance.Load {
+// poolLoads returns the load that the queues of each pool put on it, without and
+// with the waiting tasks that can no longer meet their objective.
+func (sc *Scheduler) poolLoads(ls *leaderState, rd store.Reader, now time.Time) (loads, withLate map[weir.PoolName]balance.Load) {
 	wall := sc.Wall.Now()
-	loads := map[weir.PoolName]balance.Load{}
+	loads, withLate = map[weir.PoolName]balance.Load{}, map[weir.PoolName]balance.Load{}
+	lateTasks := map[weir.PoolName]lateLoad{}
 	var largest spec.Resources
 	rd.EachWorker(func(wk store.Worker) {
 		ld := loads[wk.Pool]
@@ -143,12 +147,21 @@
 		ld := loads[qu.Pool]
 		ld.MachineCapacity = ld.MachineCapacity.Max(largest)
 		ld.Usable = len(rooms[qu.Pool])
-		addLoad(&ld, js, rooms[qu.Pool], wall)
-		loads[qu.Pool] = ld
+		late := lateTasks[qu.Pool]
+		addLoad(&ld, &late, js, qu, rooms[qu.Pool], wall)
+		loads[qu.Pool], lateTasks[qu.Pool] = ld, late
 	})
-	return loads
+	for name, ld := range loads {
+		ld.Waiting, ld.Stuck = ld.Waiting.Plus(lateTasks[name].waiting), ld.Stuck.Plus(lateTasks[name].stuck)
+		withLate[name] = ld
+	}
+	return loads, withLate
 }
 
+// lateLoad is what the waiting tasks request that can no longer meet their
+// objective.
+type lateLoad struct{ waiting, stuck spec.Resources }
+
 // freeRooms returns what the usable workers of each pool that has jobs have free.
 func (sc *Scheduler) freeRooms(ls *leaderState, rd store.Reader, now time.Time) map[weir.PoolName][]spec.Resources {
 	rooms := map[weir.PoolName][]spec.Resources{}
@@ -158,7 +171,7 @@
 	return rooms
 }
 
-func addLoad(ld *balance.Load, js *store.JobState, rooms []spec.Resources, wall time.Time) {
+func addLoad(ld *balance.Load, late *lateLoad, js *store.JobState, qu catalog.Queue, rooms []spec.Resources, wall time.Time) {
 	recent := wall.Sub(js.Accepted) < balance.ArrivalWindow
 	for oc, steps := range js.Occurrences {
 		if js.Spec.DueAt(oc).After(wall) {
@@ -170,8 +183,12 @@
 			if !need.Fits(ld.MachineCapacity) {
 				continue // larger than any machine
 			}
+			waiting, stuck := &ld.Waiting, &ld.Stuck
+			if !step.LongRunning && latestStart(js.Spec, js.Accepted, qu, oc, sp).Before(wall) {
+				waiting, stuck = &late.waiting, &late.stuck
+			}
 			if js.StepReady(oc, sp) && !slices.ContainsFunc(rooms, need.Fits) {
-				ld.Stuck = ld.Stuck.Plus(need.Times(float64(stuckTasks(steps[sp], js.ReadySince(oc, sp), wall))))
+				*stuck = stuck.Plus(need.Times(float64(stuckTasks(steps[sp], js.ReadySince(oc, sp), wall))))
 			}
 			if step.LongRunning {
 				ld.LongRunning = ld.LongRunning.Plus(need.Times(float64(step.Count)))
@@ -182,9 +199,9 @@
 				share := min(step.Estimate, maxEstimate).Seconds() / balance.ArrivalWindow.Seconds()
 				ld.ArrivalRate = ld.ArrivalRate.Plus(need.Times(float64(step.Count) * share))
 			}
-			placed, waiting := countTasks(steps[sp], js.StepReady(oc, sp))
+			placed, ready := countTasks(steps[sp], js.StepReady(oc, sp))
 			ld.Busy = ld.Busy.Plus(need.Times(float64(placed)))
-			ld.Waiting = ld.Waiting.Plus(need.Times(float64(waiting)))
+			*waiting = waiting.Plus(need.Times(float64(ready)))
 		}
 	}
 }
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -145,6 +145,15 @@
 	return ld
 }
 
+// Overload returns a load in which the first pool is asked for far more in its turn
+// than all machines can do, so that late jobs are left when the next turns begin.
+func Overload() Load {
+	ld := Small()
+	ld.Name = "overload"
+	ld.Pools[0].JobsPerSecond *= 4
+	return ld
+}
+
 // Crashing returns a load in which some jobs of one pool have a task that crashes
 // each worker that starts it.
 func Crashing() Load {
@@ -167,7 +176,7 @@
 
 // loads returns all named loads.
 func loads() []Load {
-	return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble(), Memory(), Crashing()}
+	return []Load{Small(), Small().WithTrouble(), Grown(), Grown().WithTrouble(), Memory(), Crashing(), Overload()}
 }
 
 // LoadNames returns the names that LoadByName accepts.
