--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -39,9 +39,6 @@
 const (
 	// oneWayLatency is the network latency in each direction.
 	oneWayLatency = 500 * time.Microsecond
-	// crashDelay is the time from the start of a run that crashes its worker to the
-	// crash.
-	crashDelay = 10 * time.Millisecond
 )
 
 // Machine describes a machine of the fleet.
@@ -58,10 +55,11 @@
 	Clock weir.Clock
 	// Task returns the simulated work of a run at its start; it must not block.
 	Task func(order weir.StartOrder) taskworker.Task
-	// Crashes reports whether a run crashes its worker right after its start; nil
-	// means that none does. CrashTime is how long the worker is down then.
-	Crashes   func(order weir.StartOrder) bool
-	CrashTime time.Duration
+	// Crashes reports whether a run crashes its worker CrashDelay after its start;
+	// nil means that none does. CrashTime is how long the worker is down then.
+	Crashes    func(order weir.StartOrder) bool
+	CrashDelay time.Duration
+	CrashTime  time.Duration
 	// OnWorkerUp is called with each worker that has started.
 	OnWorkerUp func(wk store.Worker)
 	// StandbyPool is the pool whose machines are powered off.
@@ -142,7 +140,7 @@
 func (fl *Fleet) runOn(mc *machine, id weir.InstanceID) func(order weir.StartOrder) taskworker.Task {
 	return func(order weir.StartOrder) taskworker.Task {
 		if fl.Crashes != nil && fl.Crashes(order) {
-			time.AfterFunc(crashDelay, func() { fl.crashWorker(mc, id) })
+			time.AfterFunc(fl.CrashDelay, func() { fl.crashWorker(mc, id) })
 		}
 		return fl.Task(order)
 	}
--- a/internal/standin/play/load.go
+++ b/internal/standin/play/load.go
@@ -88,8 +88,9 @@
 	MoveTime time.Duration
 	Waves    []Wave
 	Crashes  []Crash
-	// CrashTime is how long a worker is down that was crashed by a task.
-	CrashTime time.Duration
+	// CrashDelay is the time from the start of a task that crashes its worker to the
+	// crash, CrashTime how long the worker is down then.
+	CrashDelay, CrashTime time.Duration
 	// MachineCost is the cost of a machine in a pool for one second, MoveCost
 	// that of one move, both as shares of the total worth of all jobs.
 	MachineCost, MoveCost float64
@@ -158,7 +159,7 @@
 // each worker that starts it.
 func Crashing() Load {
 	ld := Small()
-	ld.Name, ld.CrashTime = "crashing", 3200*time.Millisecond
+	ld.Name, ld.CrashDelay, ld.CrashTime = "crashing", 10*time.Millisecond, 3200*time.Millisecond
 	ld.Pools[0].CrashingShare = 0.05
 	return ld
 }
--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -175,7 +175,7 @@
 	com := &scheduler.Committer{Log: &delayedLog{store: sr.store}, Wall: sr.clock}
 	sr.fleet = &fleet.Fleet{
 		Clock: sr.clock, Task: sr.task, OnWorkerUp: func(wk store.Worker) { sr.announce(ctx, wk) }, StandbyPool: standby,
-		MoveTime: sr.Load.MoveTime, MaintenanceTime: 2 * time.Second, Crashes: sr.crashes, CrashTime: sr.Load.CrashTime,
+		MoveTime: sr.Load.MoveTime, MaintenanceTime: 2 * time.Second, Crashes: sr.crashes, CrashDelay: sr.Load.CrashDelay, CrashTime: sr.Load.CrashTime,
 	}
 	own := &scheduler.Scheduler{
 		Store: sr.store, Committer: com, Leadership: soleLeader{}, Workers: sr.fleet, Clock: sr.clock, Wall: sr.clock, Logger: sr.Logger,
--- a/internal/standin/play/play_test.go
+++ b/internal/standin/play/play_test.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// TestTaskThatCrashesWorkersBeforeTheyConfirmIsGivenUp guards against starting it on
+// worker after worker because no start of it is ever confirmed.
+func TestTaskThatCrashesWorkersBeforeTheyConfirmIsGivenUp(t *testing.T) {
+	ld := Crashing()
+	ld.CrashDelay = 0
+	res := runSimulated(t, ld, PolicyScheduler, 1)
+	require.Less(t, res.MostCrashes, 6, "three crashes and fewer than three further starts")
+}
+
 func TestNamedLoads(t *testing.T) {
 	for _, name := range LoadNames() {
 		ld, err := LoadByName(name)
