--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -13,7 +13,7 @@
 // cases holds the cases by name.
 var cases = map[string]caseFunc{
 	"foreign": caseForeign, "burst": caseBurst, "crash": caseCrash, "advice": caseAdvice, "config": caseConfig,
-	"pending": casePending, "attempts": caseAttempts,
+	"pending": casePending, "attempts": caseAttempts, "deadly": caseDeadly, "malformed": caseMalformed,
 }
 
 const (
@@ -23,7 +23,7 @@
 	workerCount = 8
 	workerCPU   = 64_000
 	workerMemMB = 131_072
-	// visible, cancel and finish are the bounds visible_ms, cancel_ms and finish_s.
+	// visible and finish are the bounds visible_ms and finish_s.
 	visible = 3 * time.Second
 	finish  = 14 * time.Second
 )
--- a/review/standin/cases2.go
+++ b/review/standin/cases_more.go
@@ -223,3 +223,77 @@
 	defer wd.mu.Unlock()
 	return len(wd.active[task])
 }
+
+// caseDeadly hands in a job of one task that crashes each worker that starts it,
+// before the worker answers the order. The workers are back after three seconds.
+func caseDeadly(wd *world, trouble bool) (verdict, error) {
+	po, err := setUp(wd, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	const back, watched = 3 * time.Second, 40 * time.Second
+	starts := make(chan *worker, 256)
+	wd.mu.Lock()
+	wd.onStart = func(wk *worker, task string, _ int) {
+		if strings.HasPrefix(task, jobID(1)) {
+			starts <- wk
+		}
+	}
+	wd.mu.Unlock()
+	jb := small(time.Second, 1)
+	jb.Steps[0].deadly = trouble
+	if !wd.submit(prefix, jobID(1), jb) {
+		return verdict{}, errors.New("the job is not accepted")
+	}
+	// The fourth start and each later one come after three workers have crashed.
+	const allowed = 5
+	count := 0
+	until := time.After(watched)
+	for watching := true; watching && count < allowed+4; {
+		select {
+		case wk := <-starts:
+			count++
+			if ix := po.indexOf(wk); trouble {
+				time.AfterFunc(back, func() { _ = po.life(ix, "", 0) })
+			}
+		case <-until:
+			watching = false
+		}
+	}
+	st := wd.state(0, prefix, jobID(1))
+	what := fmt.Sprintf("a task was started %d times, %d of them after three workers had crashed under it; the job is shown as %s", count, max(0, count-3), st)
+	return verdict{broken: count > allowed, what: what}, nil
+}
+
+// caseMalformed lets one worker list one row that is no end of a task: its step is
+// -1. The row stays in the list until it is acknowledged, as others do.
+func caseMalformed(wd *world, trouble bool) (verdict, error) {
+	po, err := setUp(wd, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	lasting := job{Spec: "lasting", Steps: []step{{Count: 2, CPU: 5300, MemMB: 512, LongRunning: true}}}
+	if !wd.submit(prefix, jobID(1), lasting) {
+		return verdict{}, errors.New("the job is not accepted")
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		po.workers[0].listMalformed(jobID(1) + ".0.-1.0")
+	}
+	time.Sleep(2 * time.Second)
+	accepted := append([]string{jobID(0), jobID(1)}, wd.submitAll(2, 4)...)
+	wd.rec.add("the traffic ends; %d jobs were accepted", len(accepted))
+	time.Sleep(finish)
+	vd := wd.askAll(prefix, accepted, 10*time.Second)
+	reads := 0
+	for ix := range controlCount {
+		status, _, err := call(http.MethodGet, "http://"+wd.fl.controlAddr(ix)+"/-/config", "", nil, time.Second, nil)
+		wd.rec.add("operator: GET /-/config at control-%d: %d %v", ix+1, status, err)
+		if err == nil && status == http.StatusOK {
+			reads++
+		}
+	}
+	vd.what += fmt.Sprintf("; control processes that tell the configuration: %d of %d", reads, controlCount)
+	vd.what += fmt.Sprintf("; processes that ended by themselves: %d", wd.fl.ownEnds())
+	return vd, nil
+}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"syscall"
+	"time"
 )
 
 const (
@@ -31,6 +32,10 @@
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
+	// ends counts how often the process has ended by itself.
+	ends int
+	// closing is set once the process is killed for good.
+	closing bool
 	// exited is closed when the current process has ended.
 	exited chan struct{}
 }
@@ -233,14 +238,44 @@
 		err := cmd.Wait()
 		close(exited)
 		fl.rec.add("process %s (pid %d) ended: %v", pr.name, cmd.Process.Pid, err)
+		fl.restart(pr)
 	}()
 	fl.rec.add("process %s started as pid %d", pr.name, cmd.Process.Pid)
 	return nil
 }
 
+// restart starts a process again that has ended by itself, after a short delay, as
+// the platform does.
+func (fl *fleet) restart(pr *process) {
+	const delay = 500 * time.Millisecond
+	time.AfterFunc(delay, func() {
+		pr.mu.Lock()
+		closing := pr.closing
+		if !closing {
+			pr.ends++
+		}
+		pr.mu.Unlock()
+		if !closing {
+			_ = fl.start(pr)
+		}
+	})
+}
+
+// ownEnds returns how often processes have ended by themselves.
+func (fl *fleet) ownEnds() int {
+	count := 0
+	for _, pr := range fl.all() {
+		pr.mu.Lock()
+		count += pr.ends
+		pr.mu.Unlock()
+	}
+	return count
+}
+
 // kill ends a process that this fleet started and waits for its end.
 func (fl *fleet) kill(pr *process) {
 	pr.mu.Lock()
+	pr.closing = true
 	cmd, exited := pr.cmd, pr.exited
 	pr.mu.Unlock()
 	if cmd == nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -23,9 +23,11 @@
 	LongRunning bool   `json:"long_running,omitempty"`
 	MayMiss     int    `json:"may_miss,omitempty"`
 
-	// work is how long a task runs, and fails is set if it then ends as failed.
-	work  time.Duration
-	fails bool
+	// work is how long a task runs, and fails is set if it then ends as failed. A
+	// deadly task crashes the worker that starts it, before the worker answers.
+	work   time.Duration
+	fails  bool
+	deadly bool
 }
 
 // job is a job as clients send it.
@@ -388,6 +390,17 @@
 	}
 }
 
+// listMalformed lists an end whose task has no valid step.
+func (wk *worker) listMalformed(task string) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.lastEnd++
+	wk.ended = append(wk.ended, endEntry{number: wk.lastEnd, task: task, run: 1, how: "done"})
+	close(wk.changed)
+	wk.changed = make(chan struct{})
+	wk.wd.rec.add("worker %s: lists the end of %s run 1, a malformed row", wk.id, task)
+}
+
 func (wk *worker) handleStart(rw http.ResponseWriter, req *http.Request) {
 	var order struct {
 		Task       string `json:"task"`
@@ -426,6 +439,10 @@
 		return
 	}
 	wk.beginRun(order.Task, order.Run, st)
+	if st.deadly {
+		go wk.crash(false)
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(rw, http.StatusOK, map[string]any{"clock_ms": wk.clockMS(), "born": wk.bornMS})
 }
 
