fix: a full order queue no longer deadlocks the scheduler

Cause: orderStarts holds the scheduler's lock and calls Session.Start for each committed start. A session's order queue holds 1,024; beyond it Start reports the rejected order through OnChange, and that took the scheduler's lock. The committer's goroutine then waited for itself.

Evidence: the stack of the blocked test, orderStarts > Session.Start > markNotSent > OnChange > markDirty > Mutex.Lock. Ruled out: a commit that is too large (its starts are applied) and a queue that blocks its sender (it rejects).

Change: the mark of a worker with changes is an atomic value, so that markDirty takes no lock and may be called with any lock held. The other callbacks (Committer.Submit's reply, Store.OnApplied) are called without the scheduler's lock.

--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengageweir/internal/common/errkind"
@@ -152,7 +153,7 @@
 	cancel  context.CancelFunc
 	// dirty is set if the worker has changes to reconcile; reconciledAt is when
 	// it was last reconciled.
-	dirty        bool
+	dirty        atomic.Bool
 	reconciledAt time.Time
 	// removalInFlight is set while the end of this incarnation is being
 	// committed.
@@ -311,7 +312,7 @@
 			for sp := range steps {
 				for ix := range steps[sp].Tasks {
 					if ws := sc.leader.sessions[steps[sp].Tasks[ix].Worker]; ws != nil {
-						ws.dirty = true
+						ws.dirty.Store(true)
 					}
 				}
 			}
@@ -326,8 +327,8 @@
 	defer sc.mu.Unlock()
 	sc.syncSessions(ctx, ls, now)
 	for id, ws := range ls.sessions {
-		if ws.dirty || (all && (ws.session.Unreachable() || now.Sub(ws.reconciledAt) >= reconcileInterval)) {
-			ws.dirty, ws.reconciledAt = false, now
+		if ws.dirty.Swap(false) || (all && (ws.session.Unreachable() || now.Sub(ws.reconciledAt) >= reconcileInterval)) {
+			ws.reconciledAt = now
 			sc.reconcile(ls, id, ws, now)
 		}
 	}
@@ -406,11 +407,10 @@
 	return ws
 }
 
-// markDirty triggers a round that reconciles a worker.
+// markDirty triggers a round that reconciles a worker. It takes no lock, since a
+// session also calls it while the scheduler holds its own.
 func (sc *Scheduler) markDirty(ws *workerSession) {
-	sc.mu.Lock()
-	ws.dirty = true
-	sc.mu.Unlock()
+	ws.dirty.Store(true)
 	sc.Wake()
 }
 
--- a/internal/job/scheduler/wake_test.go
+++ b/internal/job/scheduler/wake_test.go
@@ -18,8 +18,8 @@
 	sc := &Scheduler{Store: st, wake: make(chan struct{}, 1)}
 	sc.leader = &leaderState{sessions: map[weir.InstanceID]*workerSession{"w0": {}, "w1": {}}}
 	sc.WakeJob("a")
-	require.False(t, sc.leader.sessions["w0"].dirty)
-	require.True(t, sc.leader.sessions["w1"].dirty)
+	require.False(t, sc.leader.sessions["w0"].dirty.Load())
+	require.True(t, sc.leader.sessions["w1"].dirty.Load())
 	require.Len(t, sc.wake, 1, "a round is triggered")
 	sc.WakeJob("unknown")
 }
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -187,8 +187,7 @@
 		return
 	}
 	ls.evicted[key] = true
-	ls.sessions[id].dirty = true
-	sc.Wake()
+	sc.markDirty(ls.sessions[id])
 	_ = sc.Logger.Log("level", "info", "msg", "run evicted", "job", key.Task.Job, "task", key.Task, "run", key.Run, "worker", id)
 }
 
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -63,7 +63,8 @@
 	crashSpan = 2 * time.Second
 	// concurrentOrders is the number of orders in flight to one worker.
 	concurrentOrders = 3
-	// orderQueueLength bounds the queued orders. A worker runs far fewer tasks.
+	// orderQueueLength bounds the queued orders. A start beyond it is not sent, and
+	// its task is placed again.
 	orderQueueLength = 1024
 )
 
@@ -108,7 +109,8 @@
 	// PriorLeaseExpiry is when every lease that an earlier leader granted has
 	// certainly expired.
 	PriorLeaseExpiry time.Time
-	// OnChange is called when there is something new to reconcile.
+	// OnChange is called when there is something new to reconcile. It must not
+	// block or take a lock, since it is also called within Start.
 	OnChange func()
 
 	mu           sync.Mutex
