fix: an end with a negative step no longer panics every replica

Cause: platform.parseTask read the numbers of a task's name with a sign, recordEnds committed the end, and JobState.Task checked the occurrence and the step against their upper bounds alone. The index of -1 panics in Store.Apply on each replica, and again whenever the log is replayed.

Evidence: the stack of the test, Store.Apply > applyEnd > JobState.Task. Ruled out: the decoder of reports, since followers, which decode none, end too.

The same function ended the leader on a row of a running task (throttleWorker).

--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -85,18 +85,21 @@
 	Placed int `json:"placed,omitempty"`
 }
 
-// Task returns a task, or nil if there is none.
+// Task returns a task, or nil if there is none. The numbers of the reference may be
+// any, since references come from workers.
 func (js *JobState) Task(rf spec.TaskRef) *Task {
-	if rf.Occurrence >= len(js.Occurrences) || rf.Step >= len(js.Spec.Steps) || js.Occurrences[rf.Occurrence] == nil {
+	if !inRange(rf.Occurrence, js.Occurrences) || !inRange(rf.Step, js.Occurrences[rf.Occurrence]) {
 		return nil
 	}
-	st := &js.Occurrences[rf.Occurrence][rf.Step]
-	if rf.Index < 0 || rf.Index >= len(st.Tasks) {
+	tasks := js.Occurrences[rf.Occurrence][rf.Step].Tasks
+	if !inRange(rf.Index, tasks) {
 		return nil
 	}
-	return &st.Tasks[rf.Index]
+	return &tasks[rf.Index]
 }
 
+func inRange[T any](index int, list []T) bool { return index >= 0 && index < len(list) }
+
 // Checkpoint returns the checkpoint that the next run of a task resumes from.
 // All members of a gang resume from the same checkpoint.
 func (js *JobState) Checkpoint(rf spec.TaskRef) string {
