fix: a configuration with more behind it is refused

Cause: decodeConfig read one value and asked json.Decoder.More whether another follows; it answers false before a closing brace or bracket, as it is meant for lists.

Evidence: asked for each of 256 bytes behind a value, More is false for white space, "]" and "}" alone. Ruled out: a check that is skipped; with any other byte the body was refused.

Change: the body is decoded as a whole, and catalog.Check requires the stored document to be one JSON value in UTF-8, whichever API takes it. jobhttp, taskapi and the bodies that echo binds ignored all that follows the first value: strictjson.Decode serves them now.

Tests, before: FAIL TestDecodeConfig (second closing brace, half a document more, not UTF-8), TestConfigFollowedByAnyByte ("]"), TestDocumentMustBeReadable (4 rows), TestBodiesMustBeOneValue (catalog, job, wave).

--- a/internal/common/ops/ops.go
+++ b/internal/common/ops/ops.go
@@ -20,6 +20,7 @@
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/common/invariant"
 	"greengageweir/internal/common/logging"
+	"greengageweir/internal/common/strictjson"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
@@ -95,11 +96,13 @@
 	}
 }
 
-// NewEcho returns a router that prints no startup banner.
+// NewEcho returns a router that prints no startup banner and accepts only bodies of
+// one JSON value.
 func NewEcho() *echo.Echo {
 	ech := echo.New()
 	ech.HideBanner = true
 	ech.HidePort = true
+	ech.JSONSerializer = strictjson.EchoSerializer{}
 	return ech
 }
 
--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -9,9 +9,11 @@
 package catalog
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"greengageweir/internal/common/errkind"
 
@@ -75,12 +77,16 @@
 	Version int64   `json:"version"`
 	Queues  []Queue `json:"queues"`
 	Pools   []Pool  `json:"pools"`
-	// Document is the configuration as the operator wrote it, kept to be read back.
+	// Document is the configuration as the operator wrote it, in JSON, kept to be read
+	// back.
 	Document []byte `json:"document,omitempty"`
 }
 
 // Check returns an error of KindInvalid for the first problem.
 func (ct Catalog) Check() error {
+	if len(ct.Document) > 0 && (!json.Valid(ct.Document) || !utf8.Valid(ct.Document)) {
+		return invalid("document is not one JSON value in UTF-8")
+	}
 	pools := map[weir.PoolName]bool{}
 	for _, po := range ct.Pools {
 		if po.Name == "" || pools[po.Name] {
--- a/internal/contract/jobhttp/jobhttp.go
+++ b/internal/contract/jobhttp/jobhttp.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"greengageweir/internal/common/ops"
+	"greengageweir/internal/common/strictjson"
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/contract/jobapi"
 	"greengageweir/internal/job/spec"
@@ -223,7 +224,7 @@
 	}
 	dec := json.NewDecoder(strings.NewReader(string(body)))
 	dec.DisallowUnknownFields()
-	return body, dec.Decode(target)
+	return body, strictjson.Decode(dec, target)
 }
 
 func (sv *server) putCatalog(ctx echo.Context) error {
--- a/internal/contract/taskapi/taskapi.go
+++ b/internal/contract/taskapi/taskapi.go
@@ -20,6 +20,7 @@
 
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/common/ops"
+	"greengageweir/internal/common/strictjson"
 	"greengageweir/internal/link/httpconn"
 
 	"github.com/labstack/echo/v4"
@@ -138,7 +139,7 @@
 func handle(do func(ctx context.Context, req request) (any, error)) echo.HandlerFunc {
 	return func(ctx echo.Context) error {
 		var req request
-		if err := json.NewDecoder(ctx.Request().Body).Decode(&req); err != nil {
+		if err := strictjson.Decode(json.NewDecoder(ctx.Request().Body), &req); err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
 		ans, err := do(ctx.Request().Context(), req)
