fix: configuration files with a second YAML document are refused

What operators saw: all that follows a second "---" in a configuration file was ignored, without a word, by weirctl config check and apply.

Cause: yaml.Unmarshal reads the first document alone.

Change: the loader reads on and reports a second document with its line.

Test: the row second-document of TestInvalidFiles. Before: FAIL ("Should be true", no error); after: ok.

--- a/internal/config/file/file.go
+++ b/internal/config/file/file.go
@@ -10,8 +10,10 @@
 package file
 
 import (
+	"bytes"
 	_ "embed" // embeds the annotated samples of "config init" and the schema
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sort"
@@ -20,6 +22,7 @@
 
 	"greengageweir/internal/config/model"
 
+	"github.com/pkg/errors"
 	"gopkg.in/yaml.v3"
 
 	weir "greengageweir"
@@ -126,13 +129,23 @@
 		ld.problems.add(path, nil, "", "cannot read: %v", err)
 		return nil
 	}
-	var doc yaml.Node
-	if err := yaml.Unmarshal(body, &doc); err != nil {
+	var doc, second yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(body))
+	err = dec.Decode(&doc)
+	if errors.Is(err, io.EOF) || (err == nil && len(doc.Content) == 0) {
+		ld.problems.add(path, nil, "", "file is empty")
+		return nil
+	}
+	if err != nil {
 		ld.problems.add(path, &yaml.Node{Line: yamlLine(err)}, "", "not YAML: %v", err)
 		return nil
 	}
-	if len(doc.Content) == 0 {
-		ld.problems.add(path, nil, "", "file is empty")
+	switch err := dec.Decode(&second); {
+	case err == nil:
+		ld.problems.add(path, &second, "", "more than one document")
+		return nil
+	case !errors.Is(err, io.EOF):
+		ld.problems.add(path, &yaml.Node{Line: yamlLine(err)}, "", "not YAML: %v", err)
 		return nil
 	}
 	return newObject(&ld.problems, path, "", doc.Content[0])
--- a/internal/config/file/file_test.go
+++ b/internal/config/file/file_test.go
@@ -43,6 +43,7 @@
 		{"unknown-service", "base.yaml", 19, "pools[1].service", "no service is named disk"},
 		{"out-of-range", "base.yaml", 3, "limits.slotsPerInstance", "want 1 to 1024"},
 		{"not-yaml", "base.yaml", 14, "", "not YAML"},
+		{"second-document", "base.yaml", 21, "", "more than one document"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.dir, func(t *testing.T) {
