fix: jobs whose task counts overflow are refused

What callers would see: one job of four steps with 2^62 tasks each is accepted, each control process panics when it applies the entry, and again at each start.

Cause: spec.Job.Check limits the sum of the counts, which overflows to zero or a negative number; applySubmit then makes a slice of 2^62 tasks. A start time after the year 9999 passes too, and its entry cannot be encoded, which fails every change of its batch.

Change: the check limits each step's count, the year of the start time and the span of the occurrences. 400, as for other invalid jobs.

Tests, before: TestRefusals "panic: makeslice: len out of range" in applySubmit, TestJobsWithHugeNumbersAreRefused the same (counts overflow to a negative).

--- a/internal/job/handler/handler_test.go
+++ b/internal/job/handler/handler_test.go
@@ -241,6 +241,8 @@
 	refused(jobapi.NoJob, http.MethodGet, "/v1/waves/7", nil)
 	refused(jobapi.Invalid, http.MethodPost, "/v1/waves", jobhttp.Wave{Number: 1})
 	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a"})
+	huge := []jobhttp.Step{{Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}}
+	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a", Job: jobhttp.Job{Steps: huge}})
 	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", map[string]any{"queue": "q", "id": "a", "jobs": 1})
 	refused(jobapi.Invalid, http.MethodPut, "/v1/catalog", map[string]any{
 		"version": 2, "queues": []map[string]any{{"name": "q", "pool": "nobody", "timeoutMillis": 1}},
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"greengageweir/internal/common/errkind"
@@ -39,6 +40,8 @@
 	MaxTasks = 10_000
 	// MaxOccurrences limits the occurrences of one job.
 	MaxOccurrences = 10_000
+	// maxStartYear is the last year that JSON timestamps can represent.
+	maxStartYear = 9999
 )
 
 // JobID is the id that the caller gave to a job.
@@ -204,6 +207,12 @@
 	if jb.OccurrenceCount < 0 || jb.OccurrenceCount > MaxOccurrences || jb.Every < 0 {
 		return invalid("%d occurrences each %s", jb.OccurrenceCount, jb.Every)
 	}
+	if year := jb.StartAt.Year(); year < 0 || year > maxStartYear {
+		return invalid("starts in the year %d", year)
+	}
+	if later := jb.OccurrenceCount - 1; later > 0 && jb.Every > math.MaxInt64/time.Duration(later) {
+		return invalid("%d occurrences each %s span too long a time", jb.OccurrenceCount, jb.Every)
+	}
 	for ix, st := range jb.Steps {
 		if err := st.check(ix); err != nil {
 			return err
@@ -217,8 +226,8 @@
 
 func (st Step) check(ix int) error {
 	switch {
-	case st.Count < 1:
-		return invalid("step %d has %d tasks", ix, st.Count)
+	case st.Count < 1 || st.Count > MaxTasks:
+		return invalid("step %d has %d tasks, want 1 to %d", ix, st.Count, MaxTasks)
 	case st.Resources.MilliCPU < 0 || st.Resources.MemoryMB < 0 || st.Resources.GPU < 0:
 		return invalid("step %d has a negative need", ix)
 	case st.MaxPerWorker < 0 || st.MaxUnavailable < 0:
