fix: an announcement of an unknown pool takes no worker's place

Cause: applyJoin takes a later announcement from the same machine or address as proof that the earlier worker has ended, and nothing checked that it came from a worker: any pool was accepted.

Evidence: the test's other program is registered and the tasks start again at once. Ruled out: a lease that is cut short, since none lapses.

Change: the leader rejects announcements that name neither a pool of the configuration nor the pool in which the worker is registered, with 400 and a log line. Before the first configuration all are accepted. The state machine is unchanged, so that replicas of both versions agree.

--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -318,6 +318,11 @@
 // worker's state.
 func (sv *Handler) announce(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	ann := call.Worker
+	if !sv.poolKnown(ann.Worker) {
+		_ = sv.Logger.Log("level", "info", "msg", "announcement rejected", "worker", ann.ID, "born", ann.Incarnation, "pool", ann.Pool,
+			"address", ann.Address, "machine", ann.Machine, "reason", "no such pool")
+		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no such pool"}
+	}
 	if !sv.Scheduler.RecordAnnouncement(*ann, sv.Clock.Now()) {
 		return jobapi.Reply{Outcome: jobapi.OK, Reason: "out of date"}
 	}
@@ -340,6 +345,22 @@
 	return jobapi.Reply{Outcome: jobapi.OK, Reason: joined.Reason}
 }
 
+// poolKnown reports whether an announcement names a pool of the configuration, or the
+// pool in which the worker is registered. Any other is not of a worker, and must not
+// take the place of the one on its machine.
+func (sv *Handler) poolKnown(wk store.Worker) bool {
+	known := false
+	sv.Store.Read(func(rd store.Reader) {
+		ct := rd.Catalog()
+		_, known = ct.PoolByName(wk.Pool)
+		if registered, ok := rd.Worker(wk.ID); ok && registered.Pool == wk.Pool {
+			known = true
+		}
+		known = known || ct.Version == 0 // workers may come before the first configuration
+	})
+	return known
+}
+
 // depart removes a worker that announced its shutdown.
 func (sv *Handler) depart(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	known, err := sv.Scheduler.DeregisterWorker(ctx, call.Worker.ID)
