fix: the adviser is asked about workers that came after its response

Cause: a step's response was kept until its tickets expired or a worker refused one. A worker that is gone refuses nothing, and one that has come is never asked about.

Ruled out: backoff, since the worker is new to the leader.

Change: the response keeps the incarnations it is about; a step with tickets and tasks left asks about the usable workers that are not among them, one query at a time, after steps without any. What was said of an incarnation is dropped with its session.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/store"
+	"greengageweir/internal/schedule/placement"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -28,14 +30,49 @@
 	ticketMargin = 200 * time.Millisecond
 )
 
-// adviceEntry is the cached response of the adviser for one step. Its tickets
+// adviceEntry holds the cached responses of the adviser for one step. Its tickets
 // are valid up to until; after retryAt the adviser may be queried again.
 type adviceEntry struct {
 	tickets map[weir.InstanceID]string
+	// asked holds the incarnations that the adviser was queried about.
+	asked   map[weir.InstanceID]int64
 	until   time.Time
 	retryAt time.Time
 }
 
+// with returns the entry with the response to a further query, about the asked
+// workers, added.
+func (ad adviceEntry) with(tickets map[weir.InstanceID]string, asked map[weir.InstanceID]int64, until, retryAt time.Time) adviceEntry {
+	out := adviceEntry{tickets: maps.Clone(ad.tickets), asked: maps.Clone(ad.asked), until: ad.until, retryAt: retryAt}
+	maps.Copy(out.tickets, tickets)
+	maps.Copy(out.asked, asked)
+	if len(tickets) > 0 && until.Before(out.until) {
+		out.until = until
+	}
+	return out
+}
+
+// unasked returns the workers with enough resources for a task of the group that
+// the adviser was not queried about.
+func (ad adviceEntry) unasked(gr placement.Group, workers []workerView) []workerView {
+	var out []workerView
+	need := gr.Spec.Reserved()
+	for _, wk := range workers {
+		if wk.Pool == gr.Pool && need.Fits(wk.Free) && ad.asked[wk.ID] != wk.Incarnation {
+			out = append(out, wk)
+		}
+	}
+	return out
+}
+
+// forgetAdvice drops what the adviser said of a worker's incarnation that has ended.
+func (ls *leaderState) forgetAdvice(id weir.InstanceID) {
+	for _, ad := range ls.advice {
+		delete(ad.tickets, id)
+		delete(ad.asked, id)
+	}
+}
+
 // tickets returns the workers that may run a step now with their tickets, nil if
 // no valid response is cached; it then queries the adviser in the background.
 // Only one request is in flight at a time, since the adviser handles the
@@ -49,48 +86,82 @@
 	if ls.adviceInFlight || sc.Adviser == nil || (ad != nil && now.Before(ad.retryAt)) {
 		return nil
 	}
-	workers := sc.adviceCandidates(ls, rd, qu)
-	if len(workers) == 0 {
-		return nil
-	}
-	ls.adviceInFlight = true
-	wait := adviceTimeout + qu.Adviser.Base + time.Duration(len(workers))*qu.Adviser.PerWorker
-	sc.inBackground(func() { sc.queryAdviser(ctx, ls, step, workers, wait) })
+	sc.askAdviser(ctx, ls, step, *qu.Adviser, sc.usableWorkers(ls, rd, now, []pendingJob{{queue: qu}}))
 	return nil
 }
 
-// adviceCandidates returns the pool's workers to query the adviser about, those
-// with most free CPU first.
-func (sc *Scheduler) adviceCandidates(ls *leaderState, rd store.Reader, qu catalog.Queue) []weir.InstanceID {
-	usable := sc.usableWorkers(ls, rd, sc.Clock.Now(), []pendingJob{{queue: qu}})
-	slices.SortFunc(usable, func(one, other workerView) int {
-		return cmp.Or(cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU), cmp.Compare(one.ID, other.ID))
-	})
-	var ids []weir.InstanceID
-	for _, wk := range usable {
-		if len(ids) < maxAdviceWorkers {
-			ids = append(ids, wk.ID)
+// adviseOnNewWorkers queries the adviser for one step that has tickets, but tasks
+// left without a worker, about the workers that have become usable since. Steps
+// without tickets go first; see tickets.
+func (sc *Scheduler) adviseOnNewWorkers(ctx context.Context, ls *leaderState, rd store.Reader, groups []placement.Group, starts []placement.Placement, workers []workerView) {
+	if sc.Adviser == nil {
+		return
+	}
+	placed := map[weir.TaskRef]int{}
+	for _, pl := range starts {
+		placed[pl.Task.StepRef()]++
+	}
+	now := sc.Clock.Now()
+	for _, gr := range groups {
+		if ls.adviceInFlight {
+			return
+		}
+		ad := ls.advice[gr.Step]
+		if gr.AllowedWorkers == nil || ad == nil || now.Before(ad.retryAt) || placed[gr.Step] == len(gr.Tasks) {
+			continue
+		}
+		if qu, ok := rd.Queue(rd.Job(gr.Step.Job).Spec.Queue); ok && qu.Adviser != nil {
+			sc.askAdviser(ctx, ls, gr.Step, *qu.Adviser, ad.unasked(gr, workers))
 		}
 	}
-	return ids
 }
 
-func (sc *Scheduler) queryAdviser(ctx context.Context, ls *leaderState, step weir.TaskRef, workers []weir.InstanceID, wait time.Duration) {
+// askAdviser queries the adviser in the background about the workers with most free
+// CPU, if there are any.
+func (sc *Scheduler) askAdviser(ctx context.Context, ls *leaderState, step weir.TaskRef, settings catalog.AdviserSettings, workers []workerView) {
+	if len(workers) == 0 {
+		return
+	}
+	slices.SortFunc(workers, func(one, other workerView) int {
+		return cmp.Or(cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU), cmp.Compare(one.ID, other.ID))
+	})
+	workers = workers[:min(len(workers), maxAdviceWorkers)]
+	ls.adviceInFlight = true
+	sc.inBackground(func() { sc.queryAdviser(ctx, ls, step, settings, workers) })
+}
+
+func (sc *Scheduler) queryAdviser(ctx context.Context, ls *leaderState, step weir.TaskRef, settings catalog.AdviserSettings, workers []workerView) {
+	wait := adviceTimeout + settings.Base + time.Duration(len(workers))*settings.PerWorker
 	callCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	ids, incarnations := make([]weir.InstanceID, len(workers)), make(map[weir.InstanceID]int64, len(workers))
+	for ix, wk := range workers {
+		ids[ix], incarnations[wk.ID] = wk.ID, wk.Incarnation
+	}
 	asked := sc.Clock.Now()
-	advice, err := sc.Adviser.Advise(callCtx, step, workers)
-	metrics.GetOrCreateHistogram("weir_advice_seconds").Update(sc.Clock.Now().Sub(asked).Seconds())
+	advice, err := sc.Adviser.Advise(callCtx, step, ids)
+	answered := sc.Clock.Now()
+	metrics.GetOrCreateHistogram("weir_advice_seconds").Update(answered.Sub(asked).Seconds())
 	_ = sc.Logger.Log("level", "info", "msg", "adviser queried", "job", step.Job, "step", step, "workers", len(workers),
 		"good", len(advice.Tickets), "validity", advice.Validity.String(), "err", err)
 	sc.mu.Lock()
 	ls.adviceInFlight = false
 	// The validity may start at any time after the request was sent.
-	ad := &adviceEntry{tickets: advice.Tickets, until: asked.Add(advice.Validity - ticketMargin), retryAt: sc.Clock.Now().Add(adviceRetryInterval)}
-	if err != nil || len(advice.Tickets) == 0 {
-		ad.until = time.Time{}
+	until, retryAt := asked.Add(advice.Validity-ticketMargin), answered.Add(adviceRetryInterval)
+	switch old := ls.advice[step]; {
+	case err != nil && old != nil:
+		old.retryAt = retryAt
+	case err != nil:
+		ls.advice[step] = &adviceEntry{retryAt: retryAt}
+	case old != nil && answered.Before(old.until):
+		ad := old.with(advice.Tickets, incarnations, until, retryAt)
+		ls.advice[step] = &ad
+	default:
+		if len(advice.Tickets) == 0 {
+			until = time.Time{}
+		}
+		ls.advice[step] = &adviceEntry{tickets: advice.Tickets, asked: incarnations, until: until, retryAt: retryAt}
 	}
-	ls.advice[step] = ad
 	for ref, old := range ls.advice {
 		if sc.Clock.Now().Sub(old.retryAt) > sc.Retention {
 			delete(ls.advice, ref)
--- a/internal/job/scheduler/order_overflow_test.go
+++ b/internal/job/scheduler/order_overflow_test.go
@@ -21,11 +21,12 @@
 type acceptingWorker struct {
 	weir.TaskWorkers
 
+	clk     weir.Clock
 	running map[weir.RunKey]bool
 }
 
-func (aw *acceptingWorker) Renew(context.Context, weir.WorkerIncarnation, weir.RenewOrder) (weir.WorkerReport, error) {
-	rep := weir.WorkerReport{Clock: time.Hour, Incarnation: 1}
+func (aw *acceptingWorker) Renew(_ context.Context, worker weir.WorkerIncarnation, _ weir.RenewOrder) (weir.WorkerReport, error) {
+	rep := weir.WorkerReport{Clock: aw.clk.Now().Sub(time.Unix(0, 0)), Incarnation: worker.Incarnation}
 	for key := range aw.running {
 		rep.Running = append(rep.Running, weir.RunningTask{RunKey: key})
 	}
@@ -37,6 +38,8 @@
 	return weir.OrderResponse{}, nil
 }
 
+func (aw *acceptingWorker) Forget(string) {}
+
 // largeJobOnOneWorker returns a leading scheduler with a job of the given number of
 // tasks, which one worker has enough resources for. Nothing is sent to the worker and
 // nothing is committed until the test does so.
@@ -57,7 +60,7 @@
 	st.Apply(1, data)
 	gl := &gatedLog{st: st, index: 1, gate: make(chan struct{})}
 	close(gl.gate)
-	aw := &acceptingWorker{running: map[weir.RunKey]bool{}}
+	aw := &acceptingWorker{clk: clock.BootTime{}, running: map[weir.RunKey]bool{}}
 	sc := &Scheduler{
 		Store: st, Committer: &Committer{Log: gl, Wall: clock.Wall{}}, Leadership: firstTermLeader{}, Workers: aw, Clock: clock.BootTime{}, Wall: clock.Wall{},
 		Logger: log.NewNopLogger(), Lease: time.Minute, Retention: time.Hour,
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -32,6 +32,7 @@
 		workers := sc.usableWorkers(ls, rd, now, jobs)
 		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers))
 		starts = placement.Place(sc.Wall.Now(), groups, workers)
+		sc.adviseOnNewWorkers(ctx, ls, rd, groups, starts, workers)
 	})
 	if len(starts) == 0 {
 		return
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -370,6 +370,7 @@
 		}
 		ws.cancel()
 		delete(ls.sessions, id)
+		ls.forgetAdvice(id)
 		if wk.Address != ws.worker.Address {
 			sc.Workers.Forget(ws.worker.Address)
 		}
