fix: a machine of two waves counts for the one that it is down for

Cause: advanceWave skipped machines with an operation of another wave, also those that were down for this one; the other wave submitted its operation while the machine was still down.

Change: the leader keeps which machines are away for their last accepted operation, and for which wave. Started maintenance counts until the machine is back, and a machine that is away is ordered for nothing else. The list of machines counts as new only if its request succeeded.

Test: TestOverlappingWavesKeepTheirLimits, before: FAIL ("2" is not less than or equal to "1"); after: ok.

--- a/internal/job/scheduler/machines.go
+++ b/internal/job/scheduler/machines.go
@@ -43,11 +43,13 @@
 	// draining holds machines that get no new tasks because they will move to
 	// another pool.
 	draining map[string]bool
-	// listed is the platform's list of machines, listedAt when it was requested,
-	// listing is set while a request is in flight.
-	listed   map[string]weir.Machine
-	listedAt time.Time
-	listing  bool
+	// listed is the platform's list of machines, listedAt when it was requested.
+	// listing is set while a request is in flight, the last of which was sent at
+	// listRequestedAt.
+	listed          map[string]weir.Machine
+	listedAt        time.Time
+	listing         bool
+	listRequestedAt time.Time
 	// shortage is set if a pool had fewer machines than it needs at the last
 	// evaluation.
 	shortage bool
@@ -64,6 +66,9 @@
 	orderedHere map[string]bool
 	// acceptedAt is when the platform last accepted an order for a machine.
 	acceptedAt map[string]time.Time
+	// away holds machines that are not back from the last operation that the platform
+	// accepted, with its wave, 0 for a move.
+	away map[string]int64
 	// endedIncarnation holds the worker incarnation that the last operation on a
 	// machine ended.
 	endedIncarnation map[string]int64
@@ -80,7 +85,7 @@
 		limiter: limiter,
 		cordon:  map[string]time.Time{}, lastOrderAt: map[string]time.Time{}, inFlight: map[string]bool{},
 		draining: map[string]bool{}, listed: map[string]weir.Machine{}, destinations: map[string]destination{},
-		demandHistory: map[weir.PoolName][]demandSample{}, pendingCommit: map[string]bool{}, orderedHere: map[string]bool{}, acceptedAt: map[string]time.Time{}, endedIncarnation: map[string]int64{},
+		demandHistory: map[weir.PoolName][]demandSample{}, pendingCommit: map[string]bool{}, orderedHere: map[string]bool{}, acceptedAt: map[string]time.Time{}, away: map[string]int64{}, endedIncarnation: map[string]int64{},
 	}
 }
 
@@ -89,6 +94,19 @@
 	return ok && machine != ""
 }
 
+// lost reports whether the platform lists a machine as down, or no longer lists it,
+// after it accepted its last operation.
+func (mst *machineState) lost(machine string) bool {
+	mc, listed := mst.listed[machine]
+	return mst.listedAt.After(mst.acceptedAt[machine]) && (!listed || mc.State == weir.MachineDown)
+}
+
+// isAway reports whether a machine is not back from its last operation.
+func (mst *machineState) isAway(machine string) bool {
+	_, away := mst.away[machine]
+	return away
+}
+
 func (mst *machineState) anyCordoned(wv *store.Wave) bool {
 	return slices.ContainsFunc(wv.Machines, mst.cordoned)
 }
@@ -113,6 +131,11 @@
 	sc.Store.Read(func(rd store.Reader) {
 		byMachine := map[string]store.Worker{}
 		rd.EachWorker(func(wk store.Worker) { byMachine[wk.Machine] = wk })
+		for machine := range mst.away {
+			if sc.operationOver(ls, byMachine[machine], machine) || mst.lost(machine) {
+				delete(mst.away, machine)
+			}
+		}
 		numbers := make([]int64, 0, len(rd.Waves()))
 		for number, wv := range rd.Waves() {
 			if !wv.AllStarted() || mst.anyCordoned(wv) {
@@ -220,10 +243,10 @@
 	return 0
 }
 
-// maintenanceDone reports whether a machine's maintenance is over: a new worker
-// is usable, or the machine has no worker, as in a standby pool, and the platform
-// lists it as up.
-func (sc *Scheduler) maintenanceDone(ls *leaderState, wk store.Worker, machine string) bool {
+// operationOver reports whether a machine is back from its last operation: a new
+// worker is usable, or the machine has no worker, as in a standby pool, and the
+// platform lists it as up.
+func (sc *Scheduler) operationOver(ls *leaderState, wk store.Worker, machine string) bool {
 	mst := ls.machines
 	if wk.ID == "" {
 		mc := mst.listed[machine]
@@ -283,6 +306,7 @@
 	changes := []store.Change{{Machine: op}}
 	if op.Started {
 		ls.machines.acceptedAt[order.Machine] = sc.Clock.Now()
+		ls.machines.away[order.Machine] = order.Wave
 		if order.Pool != "" {
 			ls.machines.destinations[order.Machine] = destination{pool: order.Pool, at: sc.Clock.Now()}
 		}
--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -39,10 +39,10 @@
 // refreshMachineList requests the platform's list of machines in the background.
 func (sc *Scheduler) refreshMachineList(ctx context.Context, ls *leaderState, now time.Time) {
 	mst := ls.machines
-	if mst.listing || now.Sub(mst.listedAt) < machineListInterval {
+	if mst.listing || now.Sub(mst.listRequestedAt) < machineListInterval {
 		return
 	}
-	mst.listing = true
+	mst.listing, mst.listRequestedAt = true, now
 	sc.inBackground(func() {
 		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
@@ -50,11 +50,11 @@
 		sc.mu.Lock()
 		defer sc.mu.Unlock()
 		mst.listing = false
-		mst.listedAt = now
 		if err != nil {
 			_ = sc.Logger.Log("level", "warn", "msg", "cannot list machines", "err", err)
 			return
 		}
+		mst.listedAt = now
 		mst.listed = make(map[string]weir.Machine, len(machines))
 		for _, mc := range machines {
 			mst.listed[mc.Name] = mc
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -54,13 +54,14 @@
 			inProgress++
 		case mst.pendingCommit[machine] && !ordered && !wv.Started[machine]:
 			inProgress++
-		case ordered:
 		case wv.Started[machine]:
-			if sc.maintenanceDone(ls, byMachine[machine], machine) {
+			if sc.maintenanceDone(ls, wv.Number, byMachine[machine], machine) {
 				delete(mst.cordon, machine)
 			} else {
 				inProgress++
 			}
+		case ordered || mst.isAway(machine):
+			// It can be ordered once it is back.
 		default:
 			waiting = append(waiting, sc.candidate(ls, rd, machine, byMachine[machine]))
 		}
@@ -73,6 +74,15 @@
 	sc.startMaintenance(ls, rd, wv, waiting, free, now)
 }
 
+// maintenanceDone reports whether the maintenance of a machine for a wave, which has
+// started, is over. It may be away for another operation since.
+func (sc *Scheduler) maintenanceDone(ls *leaderState, wave int64, wk store.Worker, machine string) bool {
+	if last, away := ls.machines.away[machine]; away {
+		return last != wave
+	}
+	return sc.operationOver(ls, wk, machine)
+}
+
 // sortCandidates sorts machines with long-running tasks first: they have to wait
 // for each other and delay the wave if they start late.
 func sortCandidates(waiting []candidate) {
