fix: serving tasks of a job that has failed go on until it is cancelled

Cause: endJob makes all runs of a failed job unwanted. The step's limit on unavailable tasks was not looked at.

Change: JobState.Live says which tasks go on: for a job that has failed, the long-running ones of steps with a limit, until the caller cancels it. Cancelling works for failed jobs too.

TestFailedJobKeepsItsServingTasks.

--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -297,7 +297,7 @@
 		switch {
 		case failed != nil:
 			rep = failed
-		case js.Phase.Terminal():
+		case js.Phase.Terminal() && (js.Cancelled || js.Placed == 0):
 			rep = &jobapi.Reply{Outcome: jobapi.OK, Phase: js.Phase}
 		default:
 			id = js.Spec.ID
@@ -309,9 +309,15 @@
 	if _, failed := sv.commit(ctx, store.Change{Cancel: &id}); failed != nil {
 		return *failed
 	}
-	_ = sv.Logger.Log("level", "info", "msg", "job cancelled", "job", id)
+	phase := store.Cancelled
+	sv.Store.Read(func(rd store.Reader) {
+		if js := rd.Job(id); js != nil {
+			phase = js.Phase
+		}
+	})
+	_ = sv.Logger.Log("level", "info", "msg", "job cancelled", "job", id, "phase", string(phase))
 	sv.Scheduler.WakeJob(id)
-	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Cancelled}
+	return jobapi.Reply{Outcome: jobapi.OK, Phase: phase}
 }
 
 // announce processes a worker's announcement and commits it if it changes the
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -429,8 +429,7 @@
 				continue // committed, but not ordered yet
 			}
 			js := rd.Job(key.Task.Job)
-			wanted := !js.Phase.Terminal() && !js.Task(key.Task).Done && !ls.evicted[key] && js.GangComplete(key)
-			placed = append(placed, session.PlacedRun{Key: key, Wanted: wanted})
+			placed = append(placed, session.PlacedRun{Key: key, Wanted: js.Wants(key) && !ls.evicted[key]})
 		}
 	})
 	out := ws.session.Reconcile(now, placed)
--- a/internal/job/scheduler/stepped_test.go
+++ b/internal/job/scheduler/stepped_test.go
@@ -49,6 +49,14 @@
 	return weir.OrderResponse{}, nil
 }
 
+func (aw *acceptingWorkers) Stop(_ context.Context, worker weir.WorkerIncarnation, key weir.RunKey, _ uint64) (weir.OrderResponse, error) {
+	if aw.down[worker.ID] {
+		return weir.OrderResponse{}, errNoResponse
+	}
+	delete(aw.running[worker.ID], key)
+	return weir.OrderResponse{}, nil
+}
+
 func (aw *acceptingWorkers) Forget(string) {}
 
 // stepped is a leading scheduler on a log of its own, which makes one step at a time:
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -185,7 +185,7 @@
 			here = append(here, key)
 		}
 	}
-	if len(here) < 2 || sc.unavailable(ls, rd, id, step) > 0 {
+	if len(here) < 2 || rd.Job(step.Job).Phase.Terminal() || sc.unavailable(ls, rd, id, step) > 0 {
 		return
 	}
 	sc.evict(ls, id, here[0])
@@ -209,7 +209,7 @@
 	steps := map[weir.TaskRef]int{}
 	for key := range rd.WorkerRuns(id) {
 		js := rd.Job(key.Task.Job)
-		if !js.Phase.Terminal() && js.Spec.Steps[key.Task.Step].MaxUnavailable > 0 {
+		if step := js.Spec.Steps[key.Task.Step]; js.Live(step) && step.MaxUnavailable > 0 {
 			steps[key.Task.StepRef()]++
 		}
 	}
--- a/internal/job/store/crash_test.go
+++ b/internal/job/store/crash_test.go
@@ -125,3 +125,43 @@
 	require.Equal(t, []spec.JobID{"a"}, seen)
 	require.Len(t, fx.crash(1, 1, key).GivenUp, 1)
 }
+
+// TestFailedJobKeepsItsServingTasks guards against tasks that are stopped beyond the
+// step's limit because their job has failed.
+func TestFailedJobKeepsItsServingTasks(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a",
+		spec.Step{Count: 3, LongRunning: true, MaxUnavailable: 1}, spec.Step{Count: 1, LongRunning: true}, spec.Step{Count: 1})
+	serving := RunKey{Task: spec.TaskRef{Job: "a", Index: 1}, Run: 1}
+	unlimited := RunKey{Task: spec.TaskRef{Job: "a", Step: 1}, Run: 1}
+	batch := RunKey{Task: spec.TaskRef{Job: "a", Step: 2}, Run: 1}
+	for _, key := range []RunKey{serving, unlimited, batch} {
+		fx.mustApply(Change{Start: &RunStart{Task: key.Task, Run: 1, Worker: "w2", Incarnation: 1}})
+	}
+	wants := func() (out []bool) {
+		fx.sr.Read(func(rd Reader) {
+			for _, key := range []RunKey{serving, unlimited, batch} {
+				out = append(out, rd.Job("a").Wants(key))
+			}
+		})
+		return out
+	}
+	require.Equal(t, []bool{true, true, true}, wants())
+	fx.crash(0, 1, fx.startAt(testNow, "a", 1, 0, 1))
+	fx.crash(1, 1, fx.startAt(testNow, "a", 2, 1, 1))
+	require.Equal(t, Failed, fx.phase("a"))
+	require.Equal(t, []bool{true, false, false}, wants())
+	fx.mustRefuse(Change{Start: &RunStart{Task: spec.TaskRef{Job: "a"}, Run: 3, Worker: "w2", Incarnation: 1}}, "job has ended")
+
+	id := spec.JobID("a")
+	fx.mustApply(Change{Cancel: &id})
+	require.Equal(t, Failed, fx.phase("a"))
+	require.Equal(t, []bool{false, false, false}, wants())
+	for _, key := range []RunKey{serving, unlimited, batch} {
+		fx.mustApply(Change{End: &RunEnd{Task: key.Task, Run: 1, Reason: EndStopped}})
+	}
+	fx.sr.Read(func(rd Reader) {
+		require.Nil(t, rd.Job("a").Occurrences)
+		require.Len(t, rd.JobsEndedBefore(testNow.Add(time.Hour), 9), 1, "the job can be forgotten")
+	})
+}
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -83,6 +83,24 @@
 	Ended           time.Time `json:"ended,omitzero"`
 	// Placed is the number of runs that may be on workers.
 	Placed int `json:"placed,omitempty"`
+	// Cancelled says that the caller has cancelled the job, also if it had failed
+	// before.
+	Cancelled bool `json:"cancelled,omitempty"`
+}
+
+// Live reports whether tasks of a step go on: those of a job that has not ended and,
+// until the caller cancels it, the long-running tasks of a job that has failed, if
+// only some of them may be unavailable at a time. Stopping them is up to the caller.
+func (js *JobState) Live(step spec.Step) bool {
+	if js.Phase == Failed && !js.Cancelled {
+		return step.LongRunning && step.MaxUnavailable > 0
+	}
+	return !js.Phase.Terminal()
+}
+
+// Wants reports whether a run that may be on a worker is to go on.
+func (js *JobState) Wants(key RunKey) bool {
+	return js.Live(js.Spec.Steps[key.Task.Step]) && !js.Task(key.Task).Done && js.GangComplete(key)
 }
 
 // Task returns a task, or nil if there is none. The numbers of the reference may be
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -218,6 +218,7 @@
 	if js == nil {
 		return refused("unknown job")
 	}
+	js.Cancelled = true
 	if !js.Phase.Terminal() {
 		st.endJob(at, js, Cancelled)
 	}
