--- a/internal/job/scheduler/advice_test.go
+++ b/internal/job/scheduler/advice_test.go
@@ -40,7 +40,7 @@
 func advisedTasks(t *testing.T, tasks int) (*stepped, *prefixAdviser) {
 	pa := &prefixAdviser{prefix: "good"}
 	sp := newStepped(t, pa, nil)
-	sp.submit("a", spec.Step{Count: tasks, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxPerWorker: 1})
+	sp.submit(spec.Step{Count: tasks, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxPerWorker: 1})
 	return sp, pa
 }
 
--- a/internal/job/scheduler/failed_job_test.go
+++ b/internal/job/scheduler/failed_job_test.go
@@ -18,7 +18,7 @@
 	for _, id := range []weir.InstanceID{"w0", "w1", "w2"} {
 		sp.join(id, 1)
 	}
-	sp.submit("a", spec.Step{Count: 3, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1})
+	sp.submit(spec.Step{Count: 3, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1})
 	running := func() int { return len(sp.workers.running["w1"]) + len(sp.workers.running["w2"]) }
 	steps := func() {
 		for range 10 {
--- a/internal/job/scheduler/order_overflow_test.go
+++ b/internal/job/scheduler/order_overflow_test.go
@@ -16,7 +16,7 @@
 	const tasks = 3000
 	sp := newStepped(t, nil, nil)
 	sp.joinWith("w0", 1, spec.Resources{MilliCPU: tasks})
-	sp.submit("a", spec.Step{Count: tasks, Resources: spec.Resources{MilliCPU: 1}})
+	sp.submit(spec.Step{Count: tasks, Resources: spec.Resources{MilliCPU: 1}})
 	for range 20 {
 		sp.step(refusalBackoff)
 	}
--- a/internal/job/scheduler/overlapping_waves_test.go
+++ b/internal/job/scheduler/overlapping_waves_test.go
@@ -102,7 +102,7 @@
 				mp.sp.join(weir.InstanceID(fmt.Sprint("w", ix)), 1)
 			}
 			if tc.tasks > 0 {
-				mp.sp.submit("a", spec.Step{Count: tc.tasks, Resources: spec.Resources{MilliCPU: 1000}})
+				mp.sp.submit(spec.Step{Count: tc.tasks, Resources: spec.Resources{MilliCPU: 1000}})
 				mp.sp.step(maxRoundInterval)
 				mp.sp.step(maxRoundInterval)
 			}
--- a/internal/job/scheduler/stepped_test.go
+++ b/internal/job/scheduler/stepped_test.go
@@ -106,8 +106,9 @@
 	require.NoError(sp.t, err)
 }
 
-func (sp *stepped) submit(id weir.JobID, steps ...spec.Step) {
-	sp.apply(store.Change{Submit: &spec.Job{ID: id, Queue: "h/q/", Steps: steps}})
+// submit submits the job a.
+func (sp *stepped) submit(steps ...spec.Step) {
+	sp.apply(store.Change{Submit: &spec.Job{ID: "a", Queue: "h/q/", Steps: steps}})
 }
 
 // join registers a worker with one core on the machine "m" + id.
