fix: a start that the next incarnation answered is no crash of the earlier one

What callers would see: a job is shown as failed though at most one worker has crashed under its task.

Cause: a worker that starts again under its id accepts starts that are meant for its earlier incarnation. The session sees by the clock that another one has answered, and kept the start as confirmed; the announcement that follows then counted it as a crash.

Evidence: the trace of the seed, in which w3 starts again before each of the two starts that counted.

Change: such a start is not among the recent ones.

Test: TestStartAnsweredByNextIncarnationIsNotRecent, before: FAIL (should have 0 items, has 1); after: ok.

--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -66,6 +66,7 @@
 		rn.answeredAt = now
 		rn.refusal = ans.Refusal
 		ss.updateClock(ans.Clock, sentAt)
+		rn.byNext = ss.otherIncarnation
 	} else {
 		// The worker may still execute the order, so the zero time makes decide
 		// stop the run before its task is placed again.
--- a/internal/task/session/recent_test.go
+++ b/internal/task/session/recent_test.go
@@ -1,11 +1,14 @@
 package session
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"greengageweir/internal/common/clock"
+
 	weir "greengageweir"
 )
 
@@ -37,3 +40,41 @@
 		})
 	}
 }
+
+// restartedWorker is a worker that starts again under its id, with its clock at zero,
+// after its first report.
+type restartedWorker struct {
+	weir.TaskWorkers
+
+	clocks []time.Duration
+}
+
+func (rw *restartedWorker) clock() time.Duration {
+	next := rw.clocks[0]
+	rw.clocks = rw.clocks[1:]
+	return next
+}
+
+func (rw *restartedWorker) Renew(context.Context, weir.WorkerIncarnation, weir.RenewOrder) (weir.WorkerReport, error) {
+	return weir.WorkerReport{Clock: rw.clock()}, nil
+}
+
+func (rw *restartedWorker) Start(context.Context, weir.WorkerIncarnation, weir.StartOrder) (weir.OrderResponse, error) {
+	return weir.OrderResponse{Clock: rw.clock()}, nil
+}
+
+// TestStartAnsweredByNextIncarnationIsNotRecent guards against a job that fails for
+// the crash of an incarnation that had not started its task.
+func TestStartAnsweredByNextIncarnationIsNotRecent(t *testing.T) {
+	for second, want := range map[time.Duration]int{time.Hour: 1, 10 * time.Millisecond: 0} {
+		ss := &Session{
+			Lease: time.Minute, Leadership: alwaysLeader{}, Clock: clock.NewManual(time.Unix(1_800_000_000, 0)), OnChange: func() {},
+			Workers: &restartedWorker{clocks: []time.Duration{time.Hour, second}},
+		}
+		require.NoError(t, ss.Default())
+		ss.RenewOnce(t.Context())
+		ss.Start(weir.StartOrder{RunKey: weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}})
+		require.True(t, ss.SendNext(t.Context()))
+		require.Len(t, ss.RecentStarts(), want, "the worker's clock is at %s", second)
+	}
+}
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -74,6 +74,8 @@
 	// earlier leader or session sent it, or if it was not answered.
 	sentAt     time.Time
 	answeredAt time.Time
+	// byNext is set if the next incarnation answered the start order.
+	byNext bool
 	// listedAt is when the last report that lists the run arrived.
 	listedAt time.Time
 	refusal  weir.Refusal
@@ -275,7 +277,7 @@
 	defer ss.mu.Unlock()
 	var out []weir.RunKey
 	for key, rn := range ss.runs {
-		started := !rn.sentAt.IsZero() && !rn.answeredAt.IsZero() && rn.refusal == weir.RefusedNone
+		started := !rn.sentAt.IsZero() && !rn.answeredAt.IsZero() && !rn.byNext && rn.refusal == weir.RefusedNone
 		recent := ss.unreachableSince.IsZero() || ss.unreachableSince.Sub(rn.sentAt) <= crashSpan
 		ended := slices.ContainsFunc(ss.ends, func(en weir.RunEnd) bool { return en.RunKey == key })
 		if started && recent && !ended && !rn.unwanted {
