fix: starts that were not confirmed count as crashes of their task

Cause: only runs that the worker had confirmed could count as the cause of its crash.

Change: orders whose connection broke right before the worker fell silent are reported with the crash and counted apart. They make a suspect; the third crash of any kind fails the job if no other came into question, the fourth in any case.

--- a/internal/job/scheduler/ends.go
+++ b/internal/job/scheduler/ends.go
@@ -70,7 +70,8 @@
 		"announcedAgo", now.Sub(ws.announcedAt).String())
 	var changes []store.Change
 	sc.Store.Read(func(rd store.Reader) { changes = sc.leaveChanges(ls, rd, wk, "lease lapsed") })
-	changes[len(changes)-1].Leave.Recent = ws.session.RecentStarts()
+	leave := changes[len(changes)-1].Leave
+	leave.Recent, leave.Unconfirmed = ws.session.RecentStarts()
 	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, _ error) {
 		for _, res := range results {
 			sc.HandleCrash(wk, res)
@@ -127,8 +128,10 @@
 			if !same || ws.worker.Incarnation >= wk.Incarnation {
 				continue
 			}
-			if runs := ws.session.RecentStarts(); len(runs) > 0 {
-				changes = append(changes, store.Change{Crash: &store.WorkerCrash{ID: id, Incarnation: ws.worker.Incarnation, Recent: runs}})
+			if recent, unconfirmed := ws.session.RecentStarts(); len(recent)+len(unconfirmed) > 0 {
+				changes = append(changes, store.Change{Crash: &store.WorkerCrash{
+					ID: id, Incarnation: ws.worker.Incarnation, Recent: recent, Unconfirmed: unconfirmed,
+				}})
 			}
 		}
 	}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -212,7 +212,7 @@
 			ref.Index = ix
 			gr.Tasks = append(gr.Tasks, placement.Task{
 				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
-				Suspect: tk.Crashes > 0,
+				Suspect: tk.Suspect(),
 			})
 		}
 	}
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -75,6 +75,8 @@
 	// Recent holds, if its lease has lapsed, the runs that the worker confirmed to
 	// have started right before it fell silent. It has crashed or is cut off.
 	Recent []RunKey `json:"recent,omitempty"`
+	// Unconfirmed holds those whose start orders may have arrived before then.
+	Unconfirmed []RunKey `json:"unconfirmed,omitempty"`
 }
 
 // WorkerCrash says that a worker's incarnation has ended without an order, as its
@@ -84,6 +86,8 @@
 	ID          weir.InstanceID `json:"id"`
 	Incarnation int64           `json:"born"`
 	Recent      []RunKey        `json:"recent"`
+	// Unconfirmed holds those whose start orders may have arrived before.
+	Unconfirmed []RunKey `json:"unconfirmed,omitempty"`
 }
 
 // RunStart records the intent to start a run. It is committed before the order
--- a/internal/job/store/crash.go
+++ b/internal/job/store/crash.go
@@ -11,17 +11,21 @@
 	// worker, if the first one is to be the cause of its crash.
 	startSpread = 250 * time.Millisecond
 	// soleCrashes is how many crashes fail a job if the last one can be due to no
-	// other job, and maxCrashes how many do in any case. The callers' limit is three
-	// crashes and two further starts.
-	soleCrashes = 2
-	maxCrashes  = 4
+	// other job, soleAnyCrashes the same with those of starts that were not confirmed,
+	// and maxCrashes how many do in any case. The callers' limit is three crashes and
+	// two further starts.
+	soleCrashes    = 2
+	soleAnyCrashes = 3
+	maxCrashes     = 4
 )
 
-// lapse holds the runs that were the last to start on a worker that was lost. Sole
-// says that all of them are of one job.
+// lapse holds the runs that were the last to start on a worker that was lost, and
+// those whose starts it may have received last. Sole says that all of them are of one
+// job.
 type lapse struct {
 	Incarnation int64    `json:"born"`
 	Runs        []RunKey `json:"runs,omitempty"`
+	Unconfirmed []RunKey `json:"unconfirmed,omitempty"`
 	Sole        bool     `json:"sole,omitempty"`
 }
 
@@ -35,7 +39,7 @@
 	if !st.unplanned(wk) {
 		return refused("its end was planned")
 	}
-	return st.recordCrash(at, st.lastStarted(wk, cr.Recent))
+	return st.recordCrash(at, st.lastStarted(wk, cr.Recent, cr.Unconfirmed))
 }
 
 // unplanned reports whether a worker that is gone was neither told to leave nor
@@ -46,7 +50,7 @@
 
 // lastStarted returns the runs that may have crashed a worker right after their
 // start: those of the recent ones after which no other was started there.
-func (st *state) lastStarted(wk *Worker, recent []RunKey) lapse {
+func (st *state) lastStarted(wk *Worker, recent, unconfirmed []RunKey) lapse {
 	var latest time.Time
 	for key := range st.Runs[wk.ID] {
 		if at := st.startedAt(key); at.After(latest) {
@@ -59,13 +63,15 @@
 			jobs[key.Task.Job] = true
 		}
 	}
-	lp := lapse{Incarnation: wk.Incarnation, Sole: len(jobs) == 1}
-	for _, key := range recent {
-		if _, here := st.Runs[wk.ID][key]; here && latest.Sub(st.startedAt(key)) <= startSpread {
-			lp.Runs = append(lp.Runs, key)
+	last := func(keys []RunKey) (out []RunKey) {
+		for _, key := range keys {
+			if _, here := st.Runs[wk.ID][key]; here && latest.Sub(st.startedAt(key)) <= startSpread {
+				out = append(out, key)
+			}
 		}
+		return out
 	}
-	return lp
+	return lapse{Incarnation: wk.Incarnation, Runs: last(recent), Unconfirmed: last(unconfirmed), Sole: len(jobs) == 1}
 }
 
 // startedAt returns when the start of a run that may be on a worker was committed.
@@ -107,22 +113,36 @@
 func (st *state) recordCrash(at time.Time, lp lapse) Result {
 	res := applied
 	for _, key := range lp.Runs {
-		js := st.Jobs[key.Task.Job]
-		if js == nil || js.Phase.Terminal() {
-			continue
-		}
-		tk := js.Task(key.Task)
-		if tk == nil || tk.Done || key.Run <= tk.CrashedRun {
-			continue
-		}
-		res.CrashedRuns++
-		tk.Crashes++
-		tk.CrashedRun = key.Run
-		st.Suspects[key.Task.Job] = true
-		if tk.Crashes >= maxCrashes || (lp.Sole && tk.Crashes >= soleCrashes) {
-			st.endJob(at, js, Failed)
-			res.GivenUp = append(res.GivenUp, key.Task.Job)
-		}
+		st.recordTaskCrash(at, key, true, lp.Sole, &res)
+	}
+	for _, key := range lp.Unconfirmed {
+		st.recordTaskCrash(at, key, false, lp.Sole, &res)
 	}
 	return res
 }
+
+// recordTaskCrash counts a crash against one task, and fails its job if it has caused
+// too many.
+func (st *state) recordTaskCrash(at time.Time, key RunKey, confirmed, sole bool, res *Result) {
+	js := st.Jobs[key.Task.Job]
+	if js == nil || js.Phase.Terminal() {
+		return
+	}
+	tk := js.Task(key.Task)
+	if tk == nil || tk.Done || key.Run <= tk.CrashedRun {
+		return
+	}
+	res.CrashedRuns++
+	if confirmed {
+		tk.Crashes++
+	} else {
+		tk.UnconfirmedCrashes++
+	}
+	tk.CrashedRun = key.Run
+	st.Suspects[key.Task.Job] = true
+	crashes := tk.Crashes + tk.UnconfirmedCrashes
+	if crashes >= maxCrashes || (sole && crashes >= soleAnyCrashes) || (sole && confirmed && tk.Crashes >= soleCrashes) {
+		st.endJob(at, js, Failed)
+		res.GivenUp = append(res.GivenUp, key.Task.Job)
+	}
+}
--- a/internal/job/store/crash_test.go
+++ b/internal/job/store/crash_test.go
@@ -165,3 +165,29 @@
 		require.Len(t, rd.JobsEndedBefore(testNow.Add(time.Hour), 9), 1, "the job can be forgotten")
 	})
 }
+
+// TestUnconfirmedCrashesFailTheJobLater guards against a task that is started on worker
+// after worker because each of them crashes before it confirms the start.
+func TestUnconfirmedCrashesFailTheJobLater(t *testing.T) {
+	crash := func(fx *fixture, worker int, keys ...RunKey) Result {
+		res := fx.apply(Change{Crash: &WorkerCrash{ID: weir.InstanceID(fmt.Sprint("w", worker)), Incarnation: 1, Unconfirmed: keys}})
+		fx.mustApply(Change{Join: testWorker(worker, 2)})
+		for _, key := range keys {
+			fx.apply(Change{End: &RunEnd{Task: key.Task, Run: key.Run, Reason: EndLost}})
+		}
+		return res
+	}
+	fx := newFixture(t)
+	fx.submit("a", singleTask)
+	for run := 1; run < soleAnyCrashes; run++ {
+		require.Empty(t, crash(fx, run-1, fx.startAt(testNow, "a", run, run-1, 1)).GivenUp, "the start may not have arrived")
+	}
+	fx.sr.Read(func(rd Reader) { require.True(t, rd.Job("a").Task(spec.TaskRef{Job: "a"}).Suspect()) })
+	require.Len(t, crash(fx, soleAnyCrashes-1, fx.startAt(testNow, "a", soleAnyCrashes, soleAnyCrashes-1, 1)).GivenUp, 1)
+
+	fx = newFixture(t)
+	fx.submit("a", singleTask)
+	crash(fx, 0, fx.startAt(testNow, "a", 1, 0, 1))
+	require.Empty(t, fx.crash(1, 1, fx.startAt(testNow, "a", 2, 1, 1)).GivenUp, "one confirmed, one not")
+	require.Len(t, fx.crash(2, 1, fx.startAt(testNow, "a", 3, 2, 1)).GivenUp, 1)
+}
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -40,7 +40,7 @@
 		for _, steps := range rd.st.Jobs[id].Occurrences {
 			for sp := range steps {
 				for ix := range steps[sp].Tasks {
-					if tk := &steps[sp].Tasks[ix]; tk.Crashes > 0 && tk.Placed() {
+					if tk := &steps[sp].Tasks[ix]; tk.Suspect() && tk.Placed() {
 						do(id, tk.Worker, tk.StartedAt)
 					}
 				}
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -40,9 +40,11 @@
 	// Checkpoint is the checkpoint that the next run resumes from.
 	Checkpoint string `json:"cp,omitempty"`
 	// Crashes counts the workers that have crashed right after they started the
-	// task, and CrashedRun is the last run that counted.
-	Crashes    int `json:"cr,omitempty"`
-	CrashedRun int `json:"crr,omitempty"`
+	// task, UnconfirmedCrashes those that did before they confirmed its start.
+	// CrashedRun is the last run that counted.
+	Crashes            int `json:"cr,omitempty"`
+	UnconfirmedCrashes int `json:"ucr,omitempty"`
+	CrashedRun         int `json:"crr,omitempty"`
 	// StartedAt is when the start of the latest run was committed, EndedAt when
 	// its end was.
 	StartedAt time.Time `json:"sa,omitzero"`
@@ -52,6 +54,9 @@
 // Placed reports whether a run of the task may be on a worker.
 func (tk *Task) Placed() bool { return tk.Worker != "" }
 
+// Suspect reports whether the task may have crashed a worker.
+func (tk *Task) Suspect() bool { return tk.Crashes+tk.UnconfirmedCrashes > 0 }
+
 // WaitingSince returns since when a task without a run waits, if its step was
 // ready at the given time.
 func (tk *Task) WaitingSince(ready time.Time) time.Time {
@@ -280,7 +285,7 @@
 			for sp := range steps {
 				for ix := range steps[sp].Tasks {
 					tk := &steps[sp].Tasks[ix]
-					if tk.Crashes > 0 {
+					if tk.Suspect() {
 						st.Suspects[id] = true
 					}
 					if tk.Placed() {
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -54,8 +54,8 @@
 		return refused("not the current incarnation")
 	}
 	res := applied
-	if len(lv.Recent) > 0 && wk.Machine != "" && st.unplanned(wk) {
-		lp := st.lastStarted(wk, lv.Recent)
+	if len(lv.Recent)+len(lv.Unconfirmed) > 0 && wk.Machine != "" && st.unplanned(wk) {
+		lp := st.lastStarted(wk, lv.Recent, lv.Unconfirmed)
 		st.Lapsed[wk.Machine] = lp
 		res = st.recordCrash(at, st.provenIn(lp))
 	}
--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -71,6 +71,9 @@
 		// The worker may still execute the order, so the zero time makes decide
 		// stop the run before its task is placed again.
 		rn.sentAt = time.Time{}
+		if callCtx.Err() == nil {
+			rn.brokenAt = now
+		}
 	}
 	ss.mu.Unlock()
 	if err != nil || ans.Refusal != weir.RefusedNone {
--- a/internal/task/session/recent_test.go
+++ b/internal/task/session/recent_test.go
@@ -16,12 +16,17 @@
 	silent := time.Unix(1_800_000_000, 0)
 	at := silent.Add(-time.Second)
 	cases := map[string]struct {
-		run   runState
-		ended bool
-		want  bool
+		run         runState
+		ended       bool
+		want        bool
+		unconfirmed bool
 	}{
 		"confirmed":                   {run: runState{sentAt: at, answeredAt: at}, want: true},
 		"not answered":                {run: runState{sentAt: at}},
+		"connection broke":            {run: runState{brokenAt: at}, unconfirmed: true},
+		"broke, to be stopped":        {run: runState{brokenAt: at, unwanted: true}},
+		"broke, listed as ended":      {run: runState{brokenAt: at}, ended: true},
+		"broke long before":           {run: runState{brokenAt: silent.Add(-crashSpan - time.Millisecond)}},
 		"sent by an earlier leader":   {run: runState{listedAt: at}},
 		"refused":                     {run: runState{sentAt: at, answeredAt: at, refusal: weir.RefusedCapacity}},
 		"to be stopped":               {run: runState{sentAt: at, answeredAt: at, unwanted: true}},
@@ -36,7 +41,9 @@
 			if tc.ended {
 				ss.ends = []weir.RunEnd{{RunKey: key, Number: 1}}
 			}
-			require.Equal(t, tc.want, len(ss.RecentStarts()) == 1)
+			confirmed, unconfirmed := ss.RecentStarts()
+			require.Equal(t, tc.want, len(confirmed) == 1)
+			require.Equal(t, tc.unconfirmed, len(unconfirmed) == 1)
 		})
 	}
 }
@@ -75,6 +82,8 @@
 		ss.RenewOnce(t.Context())
 		ss.Start(weir.StartOrder{RunKey: weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}})
 		require.True(t, ss.SendNext(t.Context()))
-		require.Len(t, ss.RecentStarts(), want, "the worker's clock is at %s", second)
+		confirmed, unconfirmed := ss.RecentStarts()
+		require.Len(t, confirmed, want, "the worker's clock is at %s", second)
+		require.Empty(t, unconfirmed)
 	}
 }
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -76,6 +76,9 @@
 	answeredAt time.Time
 	// byNext is set if the next incarnation answered the start order.
 	byNext bool
+	// brokenAt is when the connection broke on which the start order was sent and
+	// not answered.
+	brokenAt time.Time
 	// listedAt is when the last report that lists the run arrived.
 	listedAt time.Time
 	refusal  weir.Refusal
@@ -270,21 +273,27 @@
 	return ss.lastReport.recvAt, running
 }
 
-// RecentStarts returns the wanted runs that the worker confirmed to have started
-// no longer than crashSpan before it fell silent, and has not listed as ended.
-func (ss *Session) RecentStarts() []weir.RunKey {
+// RecentStarts returns the wanted runs that the worker has not listed as ended and
+// that were started no longer than crashSpan before it fell silent: those that it
+// confirmed, and those whose orders may have arrived before the connection broke.
+func (ss *Session) RecentStarts() (confirmed, unconfirmed []weir.RunKey) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	var out []weir.RunKey
+	recent := func(at time.Time) bool {
+		return !at.IsZero() && (ss.unreachableSince.IsZero() || ss.unreachableSince.Sub(at) <= crashSpan)
+	}
 	for key, rn := range ss.runs {
-		started := !rn.sentAt.IsZero() && !rn.answeredAt.IsZero() && !rn.byNext && rn.refusal == weir.RefusedNone
-		recent := ss.unreachableSince.IsZero() || ss.unreachableSince.Sub(rn.sentAt) <= crashSpan
-		ended := slices.ContainsFunc(ss.ends, func(en weir.RunEnd) bool { return en.RunKey == key })
-		if started && recent && !ended && !rn.unwanted {
-			out = append(out, key)
+		if rn.unwanted || slices.ContainsFunc(ss.ends, func(en weir.RunEnd) bool { return en.RunKey == key }) {
+			continue
+		}
+		switch {
+		case recent(rn.sentAt) && !rn.answeredAt.IsZero() && !rn.byNext && rn.refusal == weir.RefusedNone:
+			confirmed = append(confirmed, key)
+		case recent(rn.brokenAt):
+			unconfirmed = append(unconfirmed, key)
 		}
 	}
-	return out
+	return confirmed, unconfirmed
 }
 
 // AtFullSpeed reports whether the worker is reachable and its last report lists
