fix: the next incarnation of a worker may hold the longest lease

What callers would see: a task is started a second time while the first run is still at work on a worker that has started again under its id.

Cause: orders that are meant for the earlier incarnation carry leases on its clock, which was ahead, so that the next one takes the longest lease it accepts (10 s). The session saw by the clock that another incarnation had answered, and yet took the lease for expired after its own 3 s.

Ruled out: an acknowledgement before the commit; the end was refused by the log as one of an earlier run.

Change: once another incarnation has answered, the session grants no lease and counts the longest one as held. A new session after a known restart did so already.

Test: TestNextIncarnationMayHoldLongestLease, before: FAIL (a lease of 1h0m3s instead of none); after: ok.

--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -387,7 +387,7 @@
 	ws := &workerSession{worker: wk, cancel: cancel, announcedAt: now}
 	ws.session = &session.Session{
 		Worker: weir.WorkerIncarnation{ID: wk.ID, Incarnation: wk.Incarnation, Address: wk.Address},
-		Token:  ls.term, Lease: sc.Lease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
+		Token:  ls.term, Lease: sc.Lease, MaxLease: sc.MaxLease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
 		PriorLeaseExpiry: ls.since.Add(priorLeaderGrace + sc.Lease + sc.Lease/20),
 	}
 	if wk.Restarted {
--- /dev/null
+++ b/internal/task/session/next_incarnation_test.go
@@ -0,0 +1,57 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"greengageweir/internal/common/clock"
+
+	weir "greengageweir"
+)
+
+// scriptedWorker answers renewals with the given reports in turn, then with errors,
+// and records the leases that it is granted.
+type scriptedWorker struct {
+	weir.TaskWorkers
+
+	reports []weir.WorkerReport
+	until   []time.Duration
+}
+
+func (sw *scriptedWorker) Renew(_ context.Context, _ weir.WorkerIncarnation, order weir.RenewOrder) (weir.WorkerReport, error) {
+	sw.until = append(sw.until, order.Until)
+	if len(sw.reports) == 0 {
+		return weir.WorkerReport{}, errors.New("no response")
+	}
+	rep := sw.reports[0]
+	sw.reports = sw.reports[1:]
+	return rep, nil
+}
+
+// TestNextIncarnationMayHoldLongestLease guards against tasks that are started
+// elsewhere while a worker that has started again under its id still runs them.
+func TestNextIncarnationMayHoldLongestLease(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1_800_000_000, 0))
+	sw := &scriptedWorker{reports: []weir.WorkerReport{
+		{Clock: time.Hour, Incarnation: 1}, {Clock: time.Hour, Incarnation: 1}, {Clock: time.Second, Incarnation: 2}, {Clock: time.Second, Incarnation: 2},
+	}}
+	ss := &Session{
+		Worker: weir.WorkerIncarnation{ID: "w", Incarnation: 1}, Lease: 3 * time.Second, MaxLease: 10 * time.Second,
+		Leadership: alwaysLeader{}, Clock: clk, OnChange: func() {}, Workers: sw,
+	}
+	require.NoError(t, ss.Default())
+	for range 5 {
+		ss.RenewOnce(t.Context())
+	}
+	lease := time.Hour + 3*time.Second
+	require.Equal(t, []time.Duration{0, lease, lease, 0, 0}, sw.until, "the next incarnation is granted no lease on the clock of this one")
+	require.True(t, ss.Unreachable())
+	clk.Advance(10 * time.Second)
+	require.False(t, ss.LeaseExpired(clk.Now()), "it may have taken the longest lease")
+	clk.Advance(500 * time.Millisecond)
+	require.True(t, ss.LeaseExpired(clk.Now()))
+}
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -33,7 +33,7 @@
 	sentAt := ss.Clock.Now()
 	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.acknowledgement(), Wait: renewWait}
 	first := ss.clockSentAt.IsZero()
-	if first || !ss.unreachableSince.IsZero() {
+	if first || !ss.unreachableSince.IsZero() || ss.otherIncarnation {
 		// Grant no lease while the worker's clock is unknown or the worker is
 		// unreachable. An unanswered renewal may have arrived, and each grant
 		// would postpone the time at which the lease has certainly expired.
@@ -147,10 +147,12 @@
 	return fresh
 }
 
-// markOtherIncarnation records that another incarnation responded. Call it with the
-// lock held.
+// markOtherIncarnation records that another incarnation responded. It may have taken
+// the longest lease from orders that were meant for this one, whose clock was ahead.
+// Call it with the lock held.
 func (ss *Session) markOtherIncarnation() {
 	ss.otherIncarnation, ss.otherSeenAt = true, ss.Clock.Now()
+	ss.extendLeaseExpiry(ss.otherSeenAt.Add(slowestSpan(ss.MaxLease)))
 }
 
 // slowestClock returns the least that the worker's clock can show when it receives
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -104,9 +104,11 @@
 	Worker weir.WorkerIncarnation
 	// Token is the fencing token of all orders: the leader's term.
 	Token uint64
-	// Lease is the duration of a lease.
-	Lease   time.Duration
-	Workers weir.TaskWorkers
+	// Lease is the duration of a lease, MaxLease the longest one that a worker
+	// accepts.
+	Lease    time.Duration
+	MaxLease time.Duration
+	Workers  weir.TaskWorkers
 	// Leadership is checked before orders are sent.
 	Leadership weir.Leadership
 	Clock      weir.Clock
@@ -189,11 +191,20 @@
 // and before the order is sent.
 func (ss *Session) grantLease(now time.Time) time.Duration {
 	until := ss.workerClock + now.Sub(ss.clockSentAt) + ss.Lease
-	expiry := ss.clockRecvAt.Add(time.Duration(float64(until-ss.workerClock)/minClockRate) + leaseExpiryMargin)
+	ss.extendLeaseExpiry(ss.clockRecvAt.Add(slowestSpan(until - ss.workerClock)))
+	return until
+}
+
+// extendLeaseExpiry records that a lease may last until the given local time.
+func (ss *Session) extendLeaseExpiry(expiry time.Time) {
 	if expiry.After(ss.leaseExpiry) {
 		ss.leaseExpiry = expiry
 	}
-	return until
+}
+
+// slowestSpan returns how long a span on the worker's clock can take.
+func slowestSpan(span time.Duration) time.Duration {
+	return time.Duration(float64(span)/minClockRate) + leaseExpiryMargin
 }
 
 // acknowledgement returns the number of the last end that the worker may forget, 0
