fix: jobs whose starts were lost are pending again

Cause: a job left the count with the commit of its first start, for good.

Change: a job counts while no run of it is placed and none has ended in another way than lost or refused, which shows that it was at work.

--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// Pending returns the number of jobs of a queue that have not started.
+// Pending returns the number of jobs of a queue of which no run is, or certainly was,
+// at work.
 func (rd Reader) Pending(queue string) int { return len(rd.st.ByQueue[queue]) }
 
 // Worker returns the worker with the given id.
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -88,6 +88,9 @@
 	Ended           time.Time `json:"ended,omitzero"`
 	// Placed is the number of runs that may be on workers.
 	Placed int `json:"placed,omitempty"`
+	// Begun says that some run has ended in another way than by being lost or refused,
+	// so that it was certainly at work.
+	Begun bool `json:"ran,omitempty"`
 	// Cancelled says that the caller has cancelled the job, also if it had failed
 	// before.
 	Cancelled bool `json:"cancelled,omitempty"`
@@ -304,8 +307,9 @@
 	}
 }
 
+// addToQueue counts a job as pending if no run of it is, or certainly was, at work.
 func (st *state) addToQueue(js *JobState) {
-	if js.Started || js.Phase.Terminal() {
+	if js.Placed > 0 || js.Begun || js.Phase.Terminal() {
 		return
 	}
 	jobs := st.ByQueue[js.Spec.Queue]
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -281,8 +281,8 @@
 	tk.Run, tk.Worker, tk.Incarnation, tk.StartedAt = sa.Run, sa.Worker, sa.Incarnation, at
 	js.Placed++
 	st.addRun(js, sa.Task, tk)
+	st.removeFromQueue(js)
 	if !js.Started {
-		st.removeFromQueue(js)
 		js.Started = true
 		js.Phase = Running
 	}
@@ -311,6 +311,8 @@
 	case en.Reason == EndFailed && !step.LongRunning:
 		st.taskFailed(at, js, en, tk, step)
 	}
+	js.Begun = js.Begun || (en.Reason != EndLost && en.Reason != EndRefused)
+	st.addToQueue(js)
 	st.dropDetails(js)
 	return applied
 }
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -386,3 +386,30 @@
 	fx.mustApply(Change{Leave: &WorkerLeave{ID: "w0", Incarnation: 6}})
 	fx.mustApply(Change{Join: testWorker(0, 6)})
 }
+
+// TestJobsWhoseStartsAreLostArePending guards against jobs that wait, and that are
+// counted nowhere, because their starts went to a worker that does not respond.
+func TestJobsWhoseStartsAreLostArePending(t *testing.T) {
+	fx := newFixture(t)
+	fx.submit("a", singleTask)
+	pending := func() (count int) {
+		fx.sr.Read(func(rd Reader) { count = rd.Pending("h/q/") })
+		return count
+	}
+	require.Equal(t, 1, pending())
+	fx.mustApply(start("a", 0, 0, 1, 0))
+	require.Zero(t, pending())
+	fx.mustApply(Change{Leave: &WorkerLeave{ID: "w0", Incarnation: 1, Reason: "lease lapsed"}})
+	require.Equal(t, 1, pending())
+	data, err := fx.sr.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, fx.sr.Restore(fx.index, data))
+	require.Equal(t, 1, pending(), "also after a restart")
+	fx.mustApply(start("a", 0, 0, 2, 1))
+	require.Zero(t, pending())
+	fx.mustApply(end("a", 0, 0, 2, EndFailed))
+	require.Zero(t, pending(), "it has begun")
+	fx.mustApply(start("a", 0, 0, 3, 1))
+	fx.mustApply(end("a", 0, 0, 3, EndLost))
+	require.Zero(t, pending())
+}
