fix: attempts are counted against each new configuration

Cause: failures are compared with the limit only when a run fails, with the configuration of that moment; without the queue there is no limit.

Change: a new configuration is compared with the failures of the tasks of all active jobs, which also covers one that allows fewer attempts.

--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -154,7 +154,7 @@
 func (st *state) apply(at time.Time, ch *Change) Result {
 	switch {
 	case ch.Catalog != nil:
-		return st.applyCatalog(ch.Catalog)
+		return st.applyCatalog(at, ch.Catalog)
 	case ch.Submit != nil:
 		return st.applySubmit(at, ch.Submit)
 	case ch.Cancel != nil:
@@ -181,7 +181,7 @@
 
 // applyCatalog keeps the highest version; a version that is not higher is
 // refused.
-func (st *state) applyCatalog(pk *catalog.Packed) Result {
+func (st *state) applyCatalog(at time.Time, pk *catalog.Packed) Result {
 	if pk.Version <= st.Packed.Version {
 		return refused("version is not newer")
 	}
@@ -192,9 +192,33 @@
 	}
 	st.Packed, st.Catalog = *pk, ct
 	st.rebuildQueues()
+	for id := range st.Active {
+		st.failIfExhausted(at, st.Jobs[id])
+	}
 	return applied
 }
 
+// failIfExhausted fails a job with a task that has failed as often as its queue allows
+// now.
+func (st *state) failIfExhausted(at time.Time, js *JobState) {
+	for _, steps := range js.Occurrences {
+		for sp := range steps {
+			for ix := range steps[sp].Tasks {
+				if tk := &steps[sp].Tasks[ix]; !tk.Done && st.exhausted(js, tk) {
+					st.endJob(at, js, Failed)
+					return
+				}
+			}
+		}
+	}
+}
+
+// exhausted reports whether a task has failed as often as the job's queue allows.
+func (st *state) exhausted(js *JobState, tk *Task) bool {
+	qu, ok := st.Queues[js.Spec.Queue]
+	return ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Terminal()
+}
+
 func (st *state) applySubmit(at time.Time, jb *spec.Job) Result {
 	if st.Jobs[jb.ID] != nil {
 		return Result{Applied: true, Reason: "known"}
@@ -334,8 +358,7 @@
 	}
 	tk.FailedRun = en.Run
 	tk.Failures++
-	qu, ok := st.Queues[js.Spec.Queue]
-	if ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Terminal() {
+	if st.exhausted(js, tk) {
 		st.endJob(at, js, Failed)
 	}
 }
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -413,3 +413,41 @@
 	fx.mustApply(end("a", 0, 0, 3, EndLost))
 	require.Zero(t, pending())
 }
+
+// TestAttemptsEndWithTheConfiguration guards against a task that is started more often
+// than its queue allows, because the queue was not configured when it failed last, or
+// allowed more attempts.
+func TestAttemptsEndWithTheConfiguration(t *testing.T) {
+	version := int64(1)
+	configure := func(fx *fixture, attempts int) {
+		version++
+		ct := catalog.Catalog{Version: version, Pools: []catalog.Pool{{Name: "desk"}}}
+		if attempts > 0 {
+			ct.Queues = []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, MaxAttempts: attempts}}
+		}
+		fx.mustApply(Change{Catalog: packed(t, ct)})
+	}
+	fail := func(fx *fixture, run int) {
+		fx.mustApply(start("a", 0, 0, run, 0))
+		fx.mustApply(end("a", 0, 0, run, EndFailed))
+	}
+
+	fx := newFixture(t)
+	fx.submit("a", singleTask)
+	fail(fx, 1)
+	configure(fx, 0)
+	fail(fx, 2)
+	require.Equal(t, Running, fx.phase("a"), "nothing says how many attempts are allowed")
+	configure(fx, 2)
+	require.Equal(t, Failed, fx.phase("a"))
+
+	fx = newFixture(t)
+	fx.submit("a", singleTask)
+	configure(fx, 5)
+	fail(fx, 1)
+	fail(fx, 2)
+	configure(fx, 3)
+	require.Equal(t, Running, fx.phase("a"))
+	configure(fx, 2)
+	require.Equal(t, Failed, fx.phase("a"))
+}
