fix: another incarnation of a worker is asked no more often than any worker

Found when the change was read again: without a lease to grant, renewals to a worker that another incarnation answers for did not wait either, so that they followed each other at once until the worker announced itself.

Change: such renewals grant no lease and wait like all others.

Test: TestNextIncarnationMayHoldLongestLease checks the wait too; before: FAIL by the code (a wait of 0 in that branch; not run on its own), after: ok.

--- a/internal/task/session/next_incarnation_test.go
+++ b/internal/task/session/next_incarnation_test.go
@@ -20,10 +20,11 @@
 
 	reports []weir.WorkerReport
 	until   []time.Duration
+	wait    []time.Duration
 }
 
 func (sw *scriptedWorker) Renew(_ context.Context, _ weir.WorkerIncarnation, order weir.RenewOrder) (weir.WorkerReport, error) {
-	sw.until = append(sw.until, order.Until)
+	sw.until, sw.wait = append(sw.until, order.Until), append(sw.wait, order.Wait)
 	if len(sw.reports) == 0 {
 		return weir.WorkerReport{}, errors.New("no response")
 	}
@@ -49,6 +50,7 @@
 	}
 	lease := time.Hour + 3*time.Second
 	require.Equal(t, []time.Duration{0, lease, lease, 0, 0}, sw.until, "the next incarnation is granted no lease on the clock of this one")
+	require.Equal(t, renewWait, sw.wait[len(sw.wait)-1], "it is not asked again at once")
 	require.True(t, ss.Unreachable())
 	clk.Advance(10 * time.Second)
 	require.False(t, ss.LeaseExpired(clk.Now()), "it may have taken the longest lease")
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -33,12 +33,13 @@
 	sentAt := ss.Clock.Now()
 	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.acknowledgement(), Wait: renewWait}
 	first := ss.clockSentAt.IsZero()
-	if first || !ss.unreachableSince.IsZero() || ss.otherIncarnation {
+	switch {
+	case first || !ss.unreachableSince.IsZero():
 		// Grant no lease while the worker's clock is unknown or the worker is
 		// unreachable. An unanswered renewal may have arrived, and each grant
 		// would postpone the time at which the lease has certainly expired.
 		order.Wait = 0
-	} else {
+	case !ss.otherIncarnation:
 		order.Until = ss.grantLease(sentAt)
 	}
 	ss.mu.Unlock()
