feat: teams, keys and caps in the configuration and the state of jobs

The types that keys, caps and fair shares build on: a catalog holds teams with hashed keys, weight and cap, a job carries its team, the state machine indexes keys and counts what each team's runs request. Nothing reads them yet.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -58,6 +58,8 @@
 	MaxAttempts   int           `json:"maxAttempts"`
 	// Adviser is set if an adviser decides which workers may run a step.
 	Adviser *AdviserSettings `json:"advice,omitempty"`
+	// Public queues take calls without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Key identifies the queue across versions of the configuration.
@@ -77,6 +79,12 @@
 	Version int64   `json:"version"`
 	Queues  []Queue `json:"queues"`
 	Pools   []Pool  `json:"pools"`
+	// Teams share the pools. A configuration without teams requires no keys.
+	Teams []Team `json:"teams,omitempty"`
+	// RequiresKeys says that calls to queues that are not public need the key of a
+	// team. KeySalt is the secret of the hashes of all keys in this configuration.
+	RequiresKeys bool   `json:"requiresKeys,omitempty"`
+	KeySalt      []byte `json:"keySalt,omitempty"`
 	// Document is the configuration as the operator wrote it, in JSON, kept to be read
 	// back.
 	Document []byte `json:"document,omitempty"`
--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"greengageweir/internal/common/auth"
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
@@ -53,6 +54,8 @@
 	Kind Kind   `json:"kind"`
 	Host string `json:"host,omitempty"`
 	Path string `json:"path,omitempty"`
+	// Key is the API key that the caller presented; it may be empty.
+	Key auth.Key `json:"key,omitempty"`
 	// Job is the submitted job, without id and queue.
 	Job *spec.Job `json:"job,omitempty"`
 	// Catalog is set only in the process that received the call; Packed replaces
@@ -89,6 +92,9 @@
 	NoJob Outcome = "noJob"
 	// Invalid means that the call can never succeed as it is.
 	Invalid Outcome = "invalid"
+	// Unauthorized means that the queue requires a key and the call has none of a
+	// team; it certainly had no effect.
+	Unauthorized Outcome = "unauthorized"
 	// Refused means that the call certainly had no effect; RetryAfter tells when
 	// it may succeed.
 	Refused Outcome = "refused"
@@ -111,6 +117,8 @@
 		return http.StatusGone
 	case Invalid:
 		return http.StatusBadRequest
+	case Unauthorized:
+		return http.StatusUnauthorized
 	case Refused:
 		return http.StatusTooManyRequests
 	case Unavailable:
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -155,6 +155,8 @@
 	ID JobID `json:"id"`
 	// Queue is the key of the queue that the job was submitted to.
 	Queue string `json:"queue"`
+	// Team is the team whose key the caller presented; empty on public queues.
+	Team weir.TeamName `json:"team,omitempty"`
 	// Text is passed unchanged to each task.
 	Text  string `json:"text"`
 	Steps []Step `json:"steps"`
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengageweir/internal/common/auth"
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/spec"
 
@@ -21,6 +22,22 @@
 	return qu, ok
 }
 
+// TeamForKey returns the team that has the given API key.
+func (rd Reader) TeamForKey(key auth.Key) (weir.TeamName, bool) {
+	name, ok := rd.st.TeamsByKey[catalog.HashKey(rd.st.Catalog.KeySalt, key)]
+	return name, ok
+}
+
+// Team returns the team with the given name.
+func (rd Reader) Team(name weir.TeamName) (catalog.Team, bool) {
+	tm, ok := rd.st.Teams[name]
+	return tm, ok
+}
+
+// TeamUse returns what the runs of a team that may be on workers request, also of
+// best-effort tasks.
+func (rd Reader) TeamUse(name weir.TeamName) spec.Resources { return rd.st.TeamUse[name] }
+
 // Job returns a job, or nil if it is unknown. The result must not be modified,
 // nor used after the read.
 func (rd Reader) Job(id spec.JobID) *JobState { return rd.st.Jobs[id] }
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -223,6 +223,12 @@
 	// Catalog is Packed in its unpacked form, and Queues holds its queues by key.
 	Catalog catalog.Catalog          `json:"-"`
 	Queues  map[string]catalog.Queue `json:"-"`
+	// Teams holds the configuration's teams by name, TeamsByKey their names by the
+	// hashes of their keys.
+	Teams      map[weir.TeamName]catalog.Team    `json:"-"`
+	TeamsByKey map[catalog.KeyHash]weir.TeamName `json:"-"`
+	// TeamUse is what the runs of each team that may be on workers request.
+	TeamUse map[weir.TeamName]spec.Resources `json:"-"`
 	// WorkerRevision counts the changes of workers that this replica applied.
 	WorkerRevision uint64 `json:"-"`
 }
@@ -278,6 +284,7 @@
 	st.ByQueue = map[string]map[spec.JobID]bool{}
 	st.Runs = map[weir.InstanceID]map[RunKey]spec.Resources{}
 	st.Loads = map[weir.InstanceID]WorkerLoad{}
+	st.TeamUse = map[weir.TeamName]spec.Resources{}
 	st.rebuildQueues()
 	for id, js := range st.Jobs {
 		if js.Occurrences != nil {
@@ -305,6 +312,14 @@
 	for _, qu := range st.Catalog.Queues {
 		st.Queues[qu.Key()] = qu
 	}
+	st.Teams = make(map[weir.TeamName]catalog.Team, len(st.Catalog.Teams))
+	st.TeamsByKey = map[catalog.KeyHash]weir.TeamName{}
+	for _, tm := range st.Catalog.Teams {
+		st.Teams[tm.Name] = tm
+		for _, hash := range tm.KeyHashes {
+			st.TeamsByKey[hash] = tm.Name
+		}
+	}
 }
 
 // addToQueue counts a job as pending if no run of it is, or certainly was, at work.
@@ -331,9 +346,19 @@
 	step := js.Spec.Steps[rf.Step]
 	runs[RunKey{Task: rf, Run: tk.Run}] = step.Reserved()
 	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(step, 1)
+	if tm := js.Spec.Team; tm != "" {
+		st.TeamUse[tm] = st.TeamUse[tm].Plus(step.Resources)
+	}
 }
 
 func (st *state) removeRun(js *JobState, rf spec.TaskRef, tk *Task) {
 	delete(st.Runs[tk.Worker], RunKey{Task: rf, Run: tk.Run})
-	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(js.Spec.Steps[rf.Step], -1)
+	step := js.Spec.Steps[rf.Step]
+	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(step, -1)
+	if tm := js.Spec.Team; tm != "" {
+		st.TeamUse[tm] = st.TeamUse[tm].Minus(step.Resources)
+		if st.TeamUse[tm] == (spec.Resources{}) {
+			delete(st.TeamUse, tm)
+		}
+	}
 }
