feat: calls about jobs need the key of a team

The leader now resolves each call's key with the configuration that it has applied, so that a key is refused from the acknowledgement of the version without it. A job carries its team; other teams cannot see or cancel it. A submit that was tried before and may run gets 504, not a refusal.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -116,7 +116,7 @@
 		}
 		keys[qu.Key()] = qu.Name + " "
 	}
-	return nil
+	return checkTeams(ct.Teams)
 }
 
 func invalid(format string, args ...any) error {
--- a/internal/config/catalog/team.go
+++ b/internal/config/catalog/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/hmac"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 
@@ -33,3 +34,38 @@
 	_, _ = mac.Write([]byte(key))
 	return KeyHash(hex.EncodeToString(mac.Sum(nil)))
 }
+
+// saltBytes is the length of a new KeySalt.
+const saltBytes = 16
+
+// NewKeySalt returns a random salt.
+func NewKeySalt() []byte {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt) // never fails
+	return salt
+}
+
+// checkTeams returns an error of KindInvalid for the first problem. The error names
+// teams but no keys.
+func checkTeams(teams []Team) error {
+	names := map[weir.TeamName]bool{}
+	owners := map[KeyHash]weir.TeamName{}
+	for _, tm := range teams {
+		switch {
+		case tm.Name == "" || names[tm.Name]:
+			return invalid("team %q is unnamed or named twice", tm.Name)
+		case !(tm.Weight >= 0):
+			return invalid("team %q has a negative weight", tm.Name)
+		case tm.Cap.MilliCPU < 0 || tm.Cap.MemoryMB < 0 || tm.Cap.GPU < 0:
+			return invalid("team %q has a negative cap", tm.Name)
+		}
+		names[tm.Name] = true
+		for _, hash := range tm.KeyHashes {
+			if owner, ok := owners[hash]; ok && owner != tm.Name {
+				return invalid("teams %q and %q share a key", owner, tm.Name)
+			}
+			owners[hash] = tm.Name
+		}
+	}
+	return nil
+}
--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -70,6 +70,10 @@
 				if id == rl.Roster.Leader() {
 					rl.Roster.SetLeader("")
 				}
+			case err == nil && mayHaveRun && call.Kind == jobapi.Submit && rep.Outcome != jobapi.OK:
+				// A refusal would say that the job certainly does not run.
+				rl.Roster.SetLeader(rep.Leader)
+				return rl.giveUp(call, true, rep.Reason)
 			case err == nil:
 				rl.Roster.SetLeader(rep.Leader)
 				return rep
--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -67,7 +67,7 @@
 	if rep.Outcome != jobapi.OK || call.Kind == jobapi.Submit || call.Kind == jobapi.Cancel {
 		level := "debug"
 		// The process that received a call first logs that no leader was found.
-		if rep.Outcome == jobapi.Invalid || rep.Outcome == jobapi.Refused || rep.Outcome == jobapi.Unknown ||
+		if rep.Outcome == jobapi.Invalid || rep.Outcome == jobapi.Refused || rep.Outcome == jobapi.Unauthorized || rep.Outcome == jobapi.Unknown ||
 			(rep.Outcome == jobapi.Unavailable && call.Hops == 0) {
 			level = "info"
 		}
@@ -229,12 +229,21 @@
 			rep = &noCatalog
 		case !ok:
 			rep = &jobapi.Reply{Outcome: jobapi.NoQueue}
-		case id == "":
-			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no job id"}
-		case rd.Job(id) != nil:
-			rep = &jobapi.Reply{Outcome: jobapi.OK, Reason: "known", Phase: rd.Job(id).Phase}
 		default:
 			jb.ID, jb.Queue = id, qu.Key()
+			jb.Team, rep = authorize(rd, qu, call.Key)
+		}
+		if rep != nil {
+			return
+		}
+		known := rd.Job(id)
+		switch {
+		case id == "":
+			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no job id"}
+		case known != nil && !mayAccess(known, jb.Team):
+			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "id is in use"}
+		case known != nil:
+			rep = &jobapi.Reply{Outcome: jobapi.OK, Reason: "known", Phase: known.Phase}
 		}
 	})
 	if rep != nil {
@@ -246,7 +255,7 @@
 	if _, failed := sv.commit(ctx, store.Change{Submit: &jb}); failed != nil {
 		return *failed
 	}
-	_ = sv.Logger.Log("level", "info", "msg", "job accepted", "job", jb.ID, "queue", jb.Queue, "steps", len(jb.Steps),
+	_ = sv.Logger.Log("level", "info", "msg", "job accepted", "job", jb.ID, "queue", jb.Queue, "team", jb.Team, "steps", len(jb.Steps),
 		"tasks", jb.Tasks(), "lasting", jb.LongRunning(), "times", jb.OccurrenceCount)
 	sv.Scheduler.Wake()
 	return jobapi.Reply{Outcome: jobapi.OK, Phase: store.Queued}
@@ -258,12 +267,16 @@
 	if ct.Version == 0 {
 		return nil, &noCatalog
 	}
-	_, id, ok := jobapi.ResolveQueue(ct, call.Host, call.Path)
+	qu, id, ok := jobapi.ResolveQueue(ct, call.Host, call.Path)
 	if !ok {
 		return nil, &jobapi.Reply{Outcome: jobapi.NoQueue}
 	}
+	team, failed := authorize(rd, qu, call.Key)
+	if failed != nil {
+		return nil, failed
+	}
 	js := rd.Job(id)
-	if js == nil {
+	if js == nil || !mayAccess(js, team) {
 		return nil, &jobapi.Reply{Outcome: jobapi.NoJob}
 	}
 	return js, nil
@@ -277,6 +290,9 @@
 		ct := rd.Catalog()
 		if qu, id, ok := jobapi.ResolveQueue(ct, call.Host, call.Path); ok && id == "" {
 			rep = jobapi.Reply{Outcome: jobapi.OK, Pending: rd.Pending(qu.Key())}
+			if _, failed := authorize(rd, qu, call.Key); failed != nil {
+				rep = *failed
+			}
 			return
 		}
 		js, failed := findJob(rd, call)
