feat: index of what each team's runs reserve on each worker

Shares of a pool need the use by pool and team. The index is kept by worker and not by pool, so that a worker that changes its pool needs no correction, and as a sorted slice, since a worker runs tasks of few teams at a time. The random test of the state recomputes it, with jobs of two teams and without one.

--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -69,6 +69,11 @@
 	return Resources{MilliCPU: rs.MilliCPU - other.MilliCPU, MemoryMB: rs.MemoryMB - other.MemoryMB, GPU: rs.GPU - other.GPU}
 }
 
+// Multiple returns the amounts of count equal requests.
+func (rs Resources) Multiple(count int) Resources {
+	return Resources{MilliCPU: count * rs.MilliCPU, MemoryMB: count * rs.MemoryMB, GPU: count * rs.GPU}
+}
+
 // Times returns a multiple of the amounts, rounded down.
 func (rs Resources) Times(factor float64) Resources {
 	return Resources{MilliCPU: int(float64(rs.MilliCPU) * factor), MemoryMB: int(float64(rs.MemoryMB) * factor), GPU: int(float64(rs.GPU) * factor)}
--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -38,6 +38,17 @@
 // best-effort tasks.
 func (rd Reader) TeamUse(name weir.TeamName) spec.Resources { return rd.st.TeamUse[name] }
 
+// EachTeam calls do for each team of the configuration.
+func (rd Reader) EachTeam(do func(tm catalog.Team)) {
+	for _, tm := range rd.st.Teams {
+		do(tm)
+	}
+}
+
+// TeamLoads returns what the runs that may be on a worker reserve by team. The
+// result must not be modified, nor used after the read.
+func (rd Reader) TeamLoads(id weir.InstanceID) []TeamLoad { return rd.st.TeamLoads[id] }
+
 // Job returns a job, or nil if it is unknown. The result must not be modified,
 // nor used after the read.
 func (rd Reader) Job(id spec.JobID) *JobState { return rd.st.Jobs[id] }
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"greengageweir/internal/config/catalog"
@@ -229,6 +231,9 @@
 	TeamsByKey map[catalog.KeyHash]weir.TeamName `json:"-"`
 	// TeamUse is what the runs of each team that may be on workers request.
 	TeamUse map[weir.TeamName]spec.Resources `json:"-"`
+	// TeamLoads holds what the runs that may be on each worker reserve by team, in
+	// the order of the teams' names.
+	TeamLoads map[weir.InstanceID][]TeamLoad `json:"-"`
 	// WorkerRevision counts the changes of workers that this replica applied.
 	WorkerRevision uint64 `json:"-"`
 }
@@ -262,6 +267,31 @@
 	return wl
 }
 
+// TeamLoad is what the runs of one team that may be on a worker reserve.
+type TeamLoad struct {
+	Team weir.TeamName
+	Used spec.Resources
+	Runs int
+}
+
+// addTeamLoad counts sign more runs of a step on a worker for a team; sign is 1 or
+// -1.
+func (st *state) addTeamLoad(worker weir.InstanceID, team weir.TeamName, step spec.Step, sign int) {
+	loads := st.TeamLoads[worker]
+	at, ok := slices.BinarySearchFunc(loads, team, func(tl TeamLoad, team weir.TeamName) int { return cmp.Compare(tl.Team, team) })
+	if !ok {
+		loads = slices.Insert(loads, at, TeamLoad{Team: team})
+	}
+	loads[at].Used = loads[at].Used.Plus(step.Reserved().Multiple(sign))
+	if loads[at].Runs += sign; loads[at].Runs == 0 {
+		loads = slices.Delete(loads, at, at+1)
+	}
+	st.TeamLoads[worker] = loads
+	if len(loads) == 0 {
+		delete(st.TeamLoads, worker)
+	}
+}
+
 // RunKey identifies one run of one task.
 type RunKey = weir.RunKey
 
@@ -285,6 +315,7 @@
 	st.Runs = map[weir.InstanceID]map[RunKey]spec.Resources{}
 	st.Loads = map[weir.InstanceID]WorkerLoad{}
 	st.TeamUse = map[weir.TeamName]spec.Resources{}
+	st.TeamLoads = map[weir.InstanceID][]TeamLoad{}
 	st.rebuildQueues()
 	for id, js := range st.Jobs {
 		if js.Occurrences != nil {
@@ -348,6 +379,7 @@
 	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(step, 1)
 	if tm := js.Spec.Team; tm != "" {
 		st.TeamUse[tm] = st.TeamUse[tm].Plus(step.Resources)
+		st.addTeamLoad(tk.Worker, tm, step, 1)
 	}
 }
 
@@ -357,6 +389,7 @@
 	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(step, -1)
 	if tm := js.Spec.Team; tm != "" {
 		st.TeamUse[tm] = st.TeamUse[tm].Minus(step.Resources)
+		st.addTeamLoad(tk.Worker, tm, step, -1)
 		if st.TeamUse[tm] == (spec.Resources{}) {
 			delete(st.TeamUse, tm)
 		}
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -284,7 +284,10 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		fx := newFixture(rt)
 		for job := range 3 {
-			fx.submit(fmt.Sprint("j", job), spec.Step{Count: 2, Resources: spec.Resources{MilliCPU: 500}}, spec.Step{Count: 1, After: []int{0}})
+			fx.mustApply(Change{Submit: &spec.Job{
+				ID: spec.JobID(fmt.Sprint("j", job)), Queue: "h/q/", Text: "text", Team: []weir.TeamName{"b", "a", ""}[job],
+				Steps: []spec.Step{{Count: 2, Resources: spec.Resources{MilliCPU: 500}}, {Count: 1, After: []int{0}}},
+			}})
 		}
 		reasons := []EndReason{EndDone, EndFailed, EndLost, EndStopped, EndRefused}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
@@ -315,6 +318,7 @@
 		require.JSONEq(rt, string(data), string(again))
 		require.Equal(rt, fx.sr.st.Active, other.st.Active)
 		require.Equal(rt, fx.sr.st.Workers, other.st.Workers)
+		require.Equal(rt, fx.sr.st.TeamLoads, other.st.TeamLoads)
 	})
 }
 
@@ -347,11 +351,21 @@
 	}
 	for id, runs := range st.Runs {
 		require.Len(t, runs, placed[id])
-		load := WorkerLoad{}
+		load, teams := WorkerLoad{}, map[weir.TeamName]TeamLoad{}
 		for key := range runs {
-			load = load.add(st.Jobs[key.Task.Job].Spec.Steps[key.Task.Step], 1)
+			js := st.Jobs[key.Task.Job]
+			step := js.Spec.Steps[key.Task.Step]
+			load = load.add(step, 1)
+			if tm := js.Spec.Team; tm != "" {
+				teams[tm] = TeamLoad{Team: tm, Used: teams[tm].Used.Plus(step.Reserved()), Runs: teams[tm].Runs + 1}
+			}
 		}
 		require.Equal(t, load, st.Loads[id])
+		require.Len(t, st.TeamLoads[id], len(teams))
+		for ix, tl := range st.TeamLoads[id] {
+			require.Equal(t, teams[tl.Team], tl)
+			require.True(t, ix == 0 || st.TeamLoads[id][ix-1].Team < tl.Team, "in the order of names")
+		}
 	}
 }
 
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -97,6 +97,7 @@
 	delete(st.Workers, wk.ID)
 	delete(st.Runs, wk.ID)
 	delete(st.Loads, wk.ID)
+	delete(st.TeamLoads, wk.ID)
 	st.WorkerRevision++
 }
 
