feat: placement keeps to the caps and shares of teams

The job with the least remaining work went first regardless of who sent it, so a team with seven times its load took the capacity of others. Within each class of groups, tasks now go in two tiers, by the use of the team as it grows while placing. Since a round only starts runs, one pass over the groups for each tier is exact. No task is placed beyond what a team may still start under its cap; a gang is judged as a whole. Jobs of teams that are in no configuration go last.

The first tier is split: tasks that keep the team within its share go before those that take it above.

Shares count what runs reserve, since a best-effort task takes no processor time from others; caps count full requests.

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -31,7 +31,8 @@
 		}
 		workers := sc.usableWorkers(ls, rd, now, jobs)
 		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers))
-		starts = placement.Place(sc.Wall.Now(), groups, workers)
+		teams, pools := teamUse(rd, jobs, sc.Wall.Now())
+		starts = placement.Place(sc.Wall.Now(), groups, workers, teams, pools)
 		sc.adviseOnNewWorkers(ctx, ls, rd, groups, starts, workers)
 	})
 	if len(starts) == 0 {
@@ -145,6 +146,58 @@
 	return free
 }
 
+// teamUse returns the teams of the configuration, and what they use of the pools in
+// which tasks of the given jobs may have to be placed. It returns nil if there are
+// no teams.
+func teamUse(rd store.Reader, jobs []pendingJob, wall time.Time) (map[weir.TeamName]placement.Team, map[weir.PoolName]placement.PoolUse) {
+	teams, pools := map[weir.TeamName]placement.Team{}, map[weir.PoolName]placement.PoolUse{}
+	rd.EachTeam(func(tm catalog.Team) {
+		teams[tm.Name] = placement.Team{Weight: tm.Weight, Startable: placement.Startable(tm.Cap, rd.TeamUse(tm.Name))}
+	})
+	if len(teams) == 0 {
+		return nil, nil
+	}
+	for _, pj := range jobs {
+		pu, ok := pools[pj.queue.Pool]
+		if !ok {
+			pu.Teams = map[weir.TeamName]spec.Resources{}
+			pools[pj.queue.Pool] = pu
+		}
+		tm := pj.job.Spec.Team
+		if _, ok := pu.Teams[tm]; tm != "" && !ok && hasReadyStep(pj.job, wall) {
+			pu.Teams[tm] = spec.Resources{}
+		}
+	}
+	rd.EachWorker(func(wk store.Worker) {
+		pu, ok := pools[wk.Pool]
+		if !ok {
+			return
+		}
+		pu.Capacity = pu.Capacity.Plus(wk.Capacity)
+		pools[wk.Pool] = pu
+		for _, tl := range rd.TeamLoads(wk.ID) {
+			pu.Teams[tl.Team] = pu.Teams[tl.Team].Plus(tl.Used)
+		}
+	})
+	return teams, pools
+}
+
+// hasReadyStep reports whether the job has a step that runs or may start. A team
+// with nothing but jobs that are due later takes no share.
+func hasReadyStep(js *store.JobState, wall time.Time) bool {
+	for oc, steps := range js.Occurrences {
+		if js.Spec.DueAt(oc).After(wall) {
+			return false
+		}
+		for sp := range steps {
+			if steps[sp].TasksLeft > 0 && js.StepReady(oc, sp) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // readyGroups returns the steps with tasks that may start now.
 func (sc *Scheduler) readyGroups(ctx context.Context, ls *leaderState, rd store.Reader, jobs []pendingJob, free map[weir.PoolName]spec.Resources) []placement.Group {
 	var groups []placement.Group
@@ -197,7 +250,7 @@
 	step := js.Spec.Steps[sp]
 	ref := spec.TaskRef{Job: js.Spec.ID, Occurrence: oc, Step: sp}
 	gr := placement.Group{
-		Step: ref, Spec: step, Pool: qu.Pool, Priority: qu.Priority,
+		Step: ref, Spec: step, Pool: qu.Pool, Team: js.Spec.Team, Priority: qu.Priority,
 		StartBy: latestStart(js.Spec, js.Accepted, qu, oc, sp), RunsByWorker: map[weir.InstanceID]int{},
 	}
 	highest := 0
--- a/internal/schedule/placement/backlog_test.go
+++ b/internal/schedule/placement/backlog_test.go
@@ -69,6 +69,23 @@
 	groups, workers := backlog(1, 250, 500)
 	b.ReportAllocs()
 	for b.Loop() {
-		require.NotEmpty(b, Place(testNow, groups, workers))
+		require.NotEmpty(b, Place(testNow, groups, workers, nil, nil))
 	}
 }
+
+func benchmarkTeams(b *testing.B, count int) {
+	groups, workers := backlog(1, 250, 500)
+	teams := map[weir.TeamName]Team{}
+	for ix := range groups {
+		groups[ix].Team = weir.TeamName(fmt.Sprint("t", ix%count))
+		teams[groups[ix].Team] = Team{Weight: 1, Startable: spec.Resources{MilliCPU: 2_000_000, MemoryMB: NoLimit, GPU: NoLimit}}
+	}
+	pools := poolUses(workers)
+	b.ReportAllocs()
+	for b.Loop() {
+		require.NotEmpty(b, Place(testNow, groups, workers, teams, pools))
+	}
+}
+
+func BenchmarkPlaceBacklog20Teams(b *testing.B)  { benchmarkTeams(b, 20) }
+func BenchmarkPlaceBacklog130Teams(b *testing.B) { benchmarkTeams(b, 130) }
--- a/internal/schedule/placement/peak_test.go
+++ b/internal/schedule/placement/peak_test.go
@@ -17,13 +17,35 @@
 // seconds, with one call of Place per time step.
 type peak struct {
 	rng     *rand.Rand
+	span    time.Duration
 	workers []Worker
 	jobs    []*peakJob
 	running []peakRun
+	// begun is the start tag of the last job that began, served the finish tag of
+	// each team; see byStartTag.
+	begun  float64
+	served map[weir.TeamName]float64
+	// held counts, for each team, the tasks that ran in each time step of the last
+	// two thirds of fairPeriod.
+	held map[weir.TeamName]int
 }
 
+// peakOrder is the order of jobs in a simulation.
+type peakOrder int
+
+const (
+	byLatestStart peakOrder = iota
+	byWork
+	// byStartTag is strict start-time fair queueing over teams of equal weight.
+	byStartTag
+	// byShare is the order of Place with teams of equal weight.
+	byShare
+)
+
 type peakJob struct {
 	id         string
+	team       weir.TeamName
+	tag        float64
 	arrives    time.Duration
 	width      int
 	duration   time.Duration
@@ -53,7 +75,7 @@
 // newPeak generates jobs with about twice the work that the workers can do during
 // the arrival period.
 func newPeak(seed int64) *peak {
-	pk := &peak{rng: rand.New(rand.NewSource(seed))}
+	pk := &peak{rng: rand.New(rand.NewSource(seed)), span: observedPeriod}
 	for ix := range peakWorkers {
 		pk.workers = append(pk.workers, worker(fmt.Sprint("w", ix), peakCores))
 	}
@@ -72,9 +94,9 @@
 }
 
 // run runs the simulation and returns how many jobs met their objective.
-func (pk *peak) run(byWork bool) int {
+func (pk *peak) run(order peakOrder) int {
 	start := testNow
-	for at := time.Duration(0); at < observedPeriod; at += peakStep {
+	for at := time.Duration(0); at < pk.span; at += peakStep {
 		pk.finish(at)
 		var groups []Group
 		for _, jb := range pk.jobs {
@@ -83,30 +105,72 @@
 			}
 			gr := group(jb.id, spec.Step{Count: jb.unstarted, Resources: spec.Resources{MilliCPU: 4000}, Estimate: jb.duration})
 			gr.StartBy = start.Add(jb.due - jb.duration)
-			if byWork {
-				gr.RemainingWork = float64(4*jb.unstarted) * jb.duration.Seconds()
+			switch order {
+			case byWork, byShare:
+				gr.RemainingWork = jb.work()
+				gr.Team = jb.team
+			case byStartTag:
+				gr.RemainingWork, gr.StartBy = pk.startTag(jb), start.Add(time.Hour)
 			}
 			groups = append(groups, gr)
 		}
-		for _, pl := range Place(start.Add(at), groups, pk.workers) {
+		var teams map[weir.TeamName]Team
+		var pools map[weir.PoolName]PoolUse
+		if order == byShare {
+			teams, pools = pk.teams()
+		}
+		for _, pl := range Place(start.Add(at), groups, pk.workers, teams, pools) {
 			pk.start(at, pl)
 		}
+		for _, rn := range pk.running {
+			if pk.held != nil && at >= fairPeriod/3 && at < fairPeriod {
+				pk.held[rn.job.team]++
+			}
+		}
 	}
 	met := 0
 	for _, jb := range pk.jobs {
-		if jb.unfinished == 0 && jb.ended <= jb.due {
+		if jb.met() {
 			met++
 		}
 	}
 	return met
 }
 
+func (jb *peakJob) met() bool { return jb.unfinished == 0 && jb.ended <= jb.due }
+
+// work is the work of the tasks that have not started, in core-seconds.
+func (jb *peakJob) work() float64 { return float64(4*jb.unstarted) * jb.duration.Seconds() }
+
+// startTag returns the start tag of a job, and sets it on arrival.
+func (pk *peak) startTag(jb *peakJob) float64 {
+	if jb.tag == 0 {
+		jb.tag = max(pk.begun, pk.served[jb.team])
+		pk.served[jb.team] = jb.tag + jb.work()
+	}
+	return jb.tag
+}
+
+// teams returns teams of equal weight and what they use.
+func (pk *peak) teams() (map[weir.TeamName]Team, map[weir.PoolName]PoolUse) {
+	teams, use := map[weir.TeamName]Team{}, map[weir.TeamName]spec.Resources{}
+	for _, jb := range pk.jobs {
+		teams[jb.team] = Team{Weight: 1, Startable: noCap}
+	}
+	for _, rn := range pk.running {
+		use[rn.job.team] = use[rn.job.team].Plus(rn.need)
+	}
+	capacity := spec.Resources{MilliCPU: peakWorkers * peakCores * 1000}
+	return teams, map[weir.PoolName]PoolUse{"desk": {Capacity: capacity, Teams: use}}
+}
+
 func (pk *peak) start(at time.Duration, pl Placement) {
 	for _, jb := range pk.jobs {
 		if weir.JobID(jb.id) != pl.Task.Job {
 			continue
 		}
 		jb.unstarted--
+		pk.begun = max(pk.begun, jb.tag)
 		for ix := range pk.workers {
 			if pk.workers[ix].ID == pl.Worker {
 				need := spec.Resources{MilliCPU: 4000}
@@ -137,8 +201,8 @@
 func TestLeastWorkFirstMeetsMoreObjectives(t *testing.T) {
 	total, met, baseline := 0, 0, 0
 	for seed := range int64(5) {
-		met += newPeak(seed).run(true)
-		baseline += newPeak(seed).run(false)
+		met += newPeak(seed).run(byWork)
+		baseline += newPeak(seed).run(byLatestStart)
 		total += len(newPeak(seed).jobs)
 	}
 	t.Logf("of %d jobs met their objective: %d by least work, %d by latest start", total, met, baseline)
@@ -148,7 +212,7 @@
 // TestEveryJobEndsAfterPeak checks that no job starves under least work first.
 func TestEveryJobEndsAfterPeak(t *testing.T) {
 	pk := newPeak(1)
-	pk.run(true)
+	pk.run(byWork)
 	for _, jb := range pk.jobs {
 		require.Zero(t, jb.unfinished, "%s of width %d", jb.id, jb.width)
 	}
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -6,9 +6,15 @@
 // and for long-running tasks that must not share a worker with others of their
 // step.
 //
+// Teams share a pool by weighted dominant-resource fairness in two tiers: within
+// each class of groups, tasks of teams at or below their share go first, and then
+// tasks of the other teams, both with the least remaining work first. In the first
+// tier, tasks that keep their team within its share go before those with which it
+// exceeds it. No task is placed beyond a team's cap.
+//
 // Usage:
 //
-//	for _, pl := range placement.Place(now, groups, workers) { ... }
+//	for _, pl := range placement.Place(now, groups, workers, teams, pools) { ... }
 package placement
 
 import (
@@ -43,9 +49,11 @@
 
 // Group holds the tasks of one step of one job occurrence that may start now.
 type Group struct {
-	Step  weir.TaskRef // identifies the step; its task index is not used
-	Spec  spec.Step
-	Pool  weir.PoolName
+	Step weir.TaskRef // identifies the step; its task index is not used
+	Spec spec.Step
+	Pool weir.PoolName
+	// Team is the team of the job; it may be empty.
+	Team  weir.TeamName
 	Tasks []Task
 	// Priority is the priority of the job's queue; 0 goes first.
 	Priority int
@@ -94,38 +102,97 @@
 	Incarnation int64
 }
 
-// Place returns the runs to start now, most urgent groups first.
-func Place(now time.Time, groups []Group, workers []Worker) []Placement {
-	ordered := slices.Clone(groups)
-	slices.SortStableFunc(ordered, func(one, other Group) int {
-		return cmp.Or(
-			cmp.Compare(one.class(now), other.class(now)),
-			// Under overload, the job with the least remaining work goes first, so
-			// that as many jobs as possible meet their objective.
-			cmp.Compare(one.RemainingWork, other.RemainingWork),
-			one.StartBy.Compare(other.StartBy),
-			cmp.Compare(one.Step.Job, other.Step.Job),
-			cmp.Compare(one.Step.Step, other.Step.Step),
-		)
-	})
+// queued is a group while its tasks are placed.
+type queued struct {
+	Group
+	class int
+	// member is nil for a group without a team, and for one whose team is in no
+	// configuration.
+	member *member
+	// placed tells which of Tasks were placed, or skipped, already.
+	placed int
+	// on counts the step's runs at each worker with those placed in this round,
+	// once placing has begun; rack is the rack on which the group should run.
+	on   map[weir.InstanceID]int
+	rack string
+}
+
+// Place returns the runs to start now, most urgent groups first. Teams holds the
+// teams of the configuration, and pools what they use of each pool.
+func Place(now time.Time, groups []Group, workers []Worker, teams map[weir.TeamName]Team, pools map[weir.PoolName]PoolUse) []Placement {
+	ordered := order(now, groups, teams, pools)
 	byPool := map[weir.PoolName][]*Worker{}
 	for ix := range workers {
 		wk := workers[ix]
 		byPool[wk.Pool] = append(byPool[wk.Pool], &wk)
 	}
-	pools := make(map[weir.PoolName]*pool, len(byPool))
+	free := make(map[weir.PoolName]*pool, len(byPool))
 	for name, list := range byPool {
-		pools[name] = newPool(list)
+		free[name] = newPool(list)
 	}
 	var out []Placement
-	for _, gr := range ordered {
-		if po := pools[gr.Pool]; po != nil {
-			out = append(out, placeGroup(now, gr, po)...)
+	for len(ordered) > 0 {
+		end := 1
+		for end < len(ordered) && ordered[end].class == ordered[0].class {
+			end++
 		}
+		// A round only starts runs, so no task moves to an earlier tier. One pass
+		// over the groups therefore places all tasks of a tier.
+		left := ordered[:end]
+		for ti := withinShare; ti <= aboveShare; ti++ {
+			var deferred []*queued
+			for _, qd := range left {
+				po := free[qd.Pool]
+				if po == nil {
+					continue
+				}
+				var later bool
+				if out, later = qd.place(now, po, ti, out); later {
+					deferred = append(deferred, qd)
+				}
+			}
+			left = deferred
+		}
+		ordered = ordered[end:]
 	}
 	return out
 }
 
+// order returns the groups in the order in which they are placed, apart from the
+// shares of teams.
+func order(now time.Time, groups []Group, teams map[weir.TeamName]Team, pools map[weir.PoolName]PoolUse) []*queued {
+	list := make([]queued, len(groups))
+	ordered := make([]*queued, len(groups))
+	mbs := members(groups, teams, pools)
+	for ix, gr := range groups {
+		list[ix] = queued{Group: gr, class: gr.class(now), member: mbs[memberKey{pool: gr.Pool, team: gr.Team}]}
+		if gr.Team != "" && list[ix].member == nil {
+			list[ix].class += removedTeam
+		}
+		ordered[ix] = &list[ix]
+	}
+	slices.SortStableFunc(ordered, func(one, other *queued) int {
+		return cmp.Or(
+			cmp.Compare(one.class, other.class),
+			// Under overload, the job with the least remaining work goes first, so
+			// that as many jobs as possible meet their objective.
+			cmp.Compare(one.RemainingWork, other.RemainingWork),
+			one.StartBy.Compare(other.StartBy),
+			cmp.Compare(one.Step.Job, other.Step.Job),
+			cmp.Compare(one.Step.Step, other.Step.Step),
+		)
+	})
+	return ordered
+}
+
+// Classes of groups: long-running tasks, steps in time, steps that are late. Each
+// of the last two is followed by the priorities. removedTeam is added to the class
+// of groups whose team is in no configuration, which go after all others.
+const (
+	lateClass   = 1000
+	removedTeam = 1_000_000
+)
+
 // class is the first sort key of groups: long-running tasks go first, since users
 // depend on them, and jobs that have missed their objective go last, so that they
 // do not make other jobs miss theirs.
@@ -138,45 +205,89 @@
 	case !gr.StartBy.Before(now):
 		return 2 + gr.Priority
 	default:
-		return 1000 + gr.Priority
+		return lateClass + gr.Priority
 	}
 }
 
-func placeGroup(now time.Time, gr Group, po *pool) []Placement {
-	if len(gr.Tasks) == 0 || (!gr.anyOrder(gr.Tasks[0], "") && !slices.ContainsFunc(po.workers, func(wk *Worker) bool { return wk.accepts(gr, gr.RunsByWorker) })) {
-		return nil
-	}
-	var before []Worker
+// place places the group's remaining tasks of a tier and appends their placements to
+// out. It reports true if tasks of a later tier are left.
+func (qd *queued) place(now time.Time, po *pool, ti tier, out []Placement) (placements []Placement, deferred bool) {
+	gr := qd.Group
+	need, reserved := gr.Spec.Resources, gr.Spec.Reserved()
 	if gr.Spec.Gang {
-		before = make([]Worker, len(po.workers))
-		for ix, wk := range po.workers {
-			before[ix] = *wk
-		}
-	}
-	on := maps.Clone(gr.RunsByWorker)
-	if on == nil {
-		on = map[weir.InstanceID]int{}
+		need, reserved = need.Multiple(len(gr.Tasks)), reserved.Multiple(len(gr.Tasks))
 	}
-	rack := chooseRack(gr, po.workers)
-	var out []Placement
-	for _, tk := range gr.Tasks {
-		wk := po.choose(now, gr, tk, on, rack)
+	for ; qd.placed < len(gr.Tasks); qd.placed++ {
+		switch {
+		case !qd.member.mayStart(need):
+			return out, false
+		case qd.member.tier(reserved) > ti:
+			return out, true
+		case qd.on == nil && !qd.begin(po):
+			return out, false
+		case gr.Spec.Gang:
+			return qd.placeGang(now, po, out), false
+		}
+		tk := gr.Tasks[qd.placed]
+		wk := po.choose(now, gr, tk, qd.on, qd.rack)
 		if wk == nil && tk.Suspect {
 			continue
 		}
-		if wk == nil || (gr.exceedsMaxUnavailable(on[wk.ID]) && tk.waitsForSpread(now)) {
+		if wk == nil || qd.waitsForSpread(now, wk, tk) {
 			break
 		}
-		po.reserve(wk, gr, tk)
-		on[wk.ID]++
-		out = append(out, Placement{Task: gr.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation})
+		qd.member.start(gr.Spec)
+		out = append(out, qd.reserve(po, wk, tk))
 	}
-	if gr.Spec.Gang && len(out) < len(gr.Tasks) {
-		for ix, wk := range po.workers {
-			*wk = before[ix]
+	return out, false
+}
+
+// begin prepares the placing of tasks; it reports false if no worker accepts one.
+func (qd *queued) begin(po *pool) bool {
+	gr := qd.Group
+	if !gr.anyOrder(gr.Tasks[0], "") && !slices.ContainsFunc(po.workers, func(wk *Worker) bool { return wk.accepts(gr, gr.RunsByWorker) }) {
+		return false
+	}
+	qd.on = maps.Clone(gr.RunsByWorker)
+	if qd.on == nil {
+		qd.on = map[weir.InstanceID]int{}
+	}
+	qd.rack = chooseRack(gr, po.workers)
+	return true
+}
+
+// waitsForSpread reports whether a task waits for a worker with fewer tasks of its
+// step than the given one.
+func (qd *queued) waitsForSpread(now time.Time, wk *Worker, tk Task) bool {
+	return qd.exceedsMaxUnavailable(qd.on[wk.ID]) && tk.waitsForSpread(now)
+}
+
+// reserve places a task on a worker.
+func (qd *queued) reserve(po *pool, wk *Worker, tk Task) Placement {
+	po.reserve(wk, qd.Group, tk)
+	qd.on[wk.ID]++
+	return Placement{Task: qd.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation}
+}
+
+// placeGang places all tasks of a gang or none.
+func (qd *queued) placeGang(now time.Time, po *pool, out []Placement) []Placement {
+	before := make([]Worker, len(po.workers))
+	for ix, wk := range po.workers {
+		before[ix] = *wk
+	}
+	for ix, tk := range qd.Tasks {
+		wk := po.choose(now, qd.Group, tk, qd.on, qd.rack)
+		if wk == nil || qd.waitsForSpread(now, wk, tk) {
+			for ix, wk := range po.workers {
+				*wk = before[ix]
+			}
+			po.sort()
+			return out[:len(out)-ix]
 		}
-		po.sort()
-		return nil
+		out = append(out, qd.reserve(po, wk, tk))
+	}
+	for range qd.Tasks {
+		qd.member.start(qd.Spec)
 	}
 	return out
 }
--- a/internal/schedule/placement/placement_test.go
+++ b/internal/schedule/placement/placement_test.go
@@ -159,7 +159,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, tc.want, counts(Place(testNow, tc.groups, tc.workers)))
+			require.Equal(t, tc.want, counts(Place(testNow, tc.groups, tc.workers, nil, nil)))
 		})
 	}
 }
--- a/internal/schedule/placement/suspect_test.go
+++ b/internal/schedule/placement/suspect_test.go
@@ -33,7 +33,7 @@
 	two := one
 	two.Count = 2
 	groups := []Group{group("a", two, suspect), group("b", one, suspect), group("c", one, suspect), group("fresh", one)}
-	placed := workersByJob(Place(testNow, groups, []Worker{worker("w1", 64), worker("w2", 64), worker("w3", 64)}))
+	placed := workersByJob(Place(testNow, groups, []Worker{worker("w1", 64), worker("w2", 64), worker("w3", 64)}, nil, nil))
 	require.Len(t, placed, 3, "nobody joins a suspect task that starts now")
 	for job, workers := range placed {
 		require.Len(t, workers, 1, "tasks of one job may share a worker: %s", job)
@@ -45,6 +45,6 @@
 	shared := worker("w1", 64)
 	shared.SuspectJobs = map[weir.JobID]bool{"other": true}
 	groups := []Group{group("a", spec.Step{Count: 1, Resources: spec.Resources{MilliCPU: 1000}}, suspect)}
-	require.Empty(t, Place(testNow.Add(isolationWait-time.Millisecond), groups, []Worker{shared}))
-	require.Len(t, Place(testNow.Add(isolationWait), groups, []Worker{shared}), 1, "no task waits for long beside free room")
+	require.Empty(t, Place(testNow.Add(isolationWait-time.Millisecond), groups, []Worker{shared}, nil, nil))
+	require.Len(t, Place(testNow.Add(isolationWait), groups, []Worker{shared}, nil, nil), 1, "no task waits for long beside free room")
 }
