feat: log line for teams above their share while others wait

Each second, beside the scheduler's load, at most eight teams: those furthest above their share, with pool, use, share and the number of waiting tasks of others.

--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"greengageweir/internal/job/spec"
@@ -13,6 +15,9 @@
 // loadLogInterval is the time between two reports of the scheduler's load.
 const loadLogInterval = time.Second
 
+// maxTeamLines limits the log lines of one report about teams above their share.
+const maxTeamLines = 8
+
 // roundLoad sums up the rounds since the last report.
 type roundLoad struct {
 	reportedAt time.Time
@@ -36,6 +41,8 @@
 	noCPU, noMemory int
 	late            int
 	longest         time.Duration
+	// teams counts the waiting tasks by team.
+	teams map[weir.TeamName]int
 }
 
 // reportLoad logs how busy the rounds were and, for each pool with waiting tasks,
@@ -56,12 +63,14 @@
 			free[wk.Pool] = free[wk.Pool].Plus(wk.Free)
 			usable[wk.Pool]++
 		}
-		for pool, wait := range sc.waitingTasks(ls, jobs, largest) {
+		waits := sc.waitingTasks(ls, jobs, largest)
+		for pool, wait := range waits {
 			_ = sc.Logger.Log("level", "info", "msg", "tasks waiting", "pool", pool, "tasks", wait.tasks, "late", wait.late,
 				"longest", wait.longest.String(), "milliCPU", wait.waiting.MilliCPU, "memoryMB", wait.waiting.MemoryMB,
 				"noCPU", wait.noCPU, "noMemory", wait.noMemory, "usable", usable[pool],
 				"freeMilliCPU", free[pool].MilliCPU, "freeMemoryMB", free[pool].MemoryMB)
 		}
+		sc.reportTeamsAboveShare(rd, jobs, waits)
 	})
 }
 
@@ -85,8 +94,50 @@
 	return waits
 }
 
+// teamAboveShare is a team that uses more than its share of a pool while tasks of
+// others wait there.
+type teamAboveShare struct {
+	team       weir.TeamName
+	pool       weir.PoolName
+	use, share float64
+	// waiting counts the waiting tasks of others.
+	waiting int
+}
+
+// reportTeamsAboveShare logs the teams that are furthest above their share of a pool
+// while tasks of others wait there.
+func (sc *Scheduler) reportTeamsAboveShare(rd store.Reader, jobs []pendingJob, waits map[weir.PoolName]poolWait) {
+	teams, pools := teamUse(rd, jobs, sc.Wall.Now())
+	for _, ta := range teamsAboveShare(teams, pools, waits) {
+		_ = sc.Logger.Log("level", "info", "msg", "team above share", "team", ta.team, "pool", ta.pool, "use", ta.use,
+			"share", ta.share, "waiting", ta.waiting)
+	}
+}
+
+// teamsAboveShare returns at most maxTeamLines teams, the one furthest above its
+// share first.
+func teamsAboveShare(teams map[weir.TeamName]placement.Team, pools map[weir.PoolName]placement.PoolUse, waits map[weir.PoolName]poolWait) []teamAboveShare {
+	var out []teamAboveShare
+	for pool, pu := range pools {
+		for name, share := range pu.Shares(teams) {
+			waiting := waits[pool].tasks - waits[pool].teams[name]
+			if use := pu.DominantUse(name); waiting > 0 && use > 0 && pu.AboveShare(name, share) {
+				out = append(out, teamAboveShare{team: name, pool: pool, use: use, share: share, waiting: waiting})
+			}
+		}
+	}
+	slices.SortFunc(out, func(one, other teamAboveShare) int {
+		return cmp.Or(cmp.Compare(other.use-other.share, one.use-one.share), cmp.Compare(one.pool, other.pool), cmp.Compare(one.team, other.team))
+	})
+	return out[:min(len(out), maxTeamLines)]
+}
+
 // with adds the tasks of a group.
 func (pw poolWait) with(gr placement.Group, largest spec.Resources, wall time.Time) poolWait {
+	if pw.teams == nil {
+		pw.teams = map[weir.TeamName]int{}
+	}
+	pw.teams[gr.Team] += len(gr.Tasks)
 	need := gr.Spec.Reserved()
 	for _, tk := range gr.Tasks {
 		pw.tasks++
