test: a team of weight 0 gets nothing while others ask for the whole pool

With weight 0 counted as a share of 0, which no use is above, the test passed: the others asked for too little. A case for resources that the pool lacks had no effect, since no task that requests them is placed.

--- a/internal/schedule/placement/team.go
+++ b/internal/schedule/placement/team.go
@@ -87,11 +87,8 @@
 // entitlement returns the most of each resource that is within a share.
 func (pu PoolUse) entitlement(share float64) spec.Resources {
 	part := func(capacity int) int {
-		switch {
-		case share == 0:
+		if share == 0 {
 			return -1
-		case capacity == 0:
-			return NoLimit
 		}
 		// The weights of a share may not be exact in binary; 1e-6 is far less
 		// than one unit.
--- a/internal/schedule/placement/team_test.go
+++ b/internal/schedule/placement/team_test.go
@@ -45,7 +45,7 @@
 		"weight of two":  {need: spec.Resources{MilliCPU: 4000}, weight: 2, othersAsk: 16, hot: 16, minOthers: 7},
 		"all ask double": {need: spec.Resources{MilliCPU: 4000}, weight: 1, othersAsk: 16, hot: 8, minOthers: 8},
 		"room is left":   {need: spec.Resources{MilliCPU: 4000}, weight: 1, othersAsk: 5, hot: 56, minOthers: 5},
-		"weight of zero": {need: spec.Resources{MilliCPU: 4000}, weight: 0, othersAsk: 8, hot: 8, minOthers: 8},
+		"weight of zero": {need: spec.Resources{MilliCPU: 4000}, weight: 0, othersAsk: 9, hot: 0, minOthers: 8},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
