fix: public queues give no access to jobs of other queues

Job ids are global, and the team was not checked on public queues: without any key a caller could query and cancel each team's jobs, or learn of them by a submit, through the path of a public queue. A public queue now refers to its own jobs and to jobs without a team. Weighed: to compare the queue for all calls; that would refuse a team's own jobs after the prefix of their queue has changed.

The line "call answered" names the team of the caller's key, so that a refusal can be followed from the call's id to the team.

--- a/internal/job/handler/authorize.go
+++ b/internal/job/handler/authorize.go
@@ -33,8 +33,26 @@
 	return "", &jobapi.Reply{Outcome: jobapi.Unauthorized, Reason: reason}
 }
 
-// mayAccess reports whether a call of a team may refer to a job. Calls to public
-// queues have no team and refer to all jobs, as all calls do to a job without one.
-func mayAccess(js *store.JobState, team weir.TeamName) bool {
-	return team == "" || js.Spec.Team == "" || js.Spec.Team == team
+// mayAccess reports whether a call of a team to a queue may refer to a job. The team
+// is not checked for a job without one, and where the queue needs no key. A public
+// queue gives access to its own jobs only: otherwise a caller without a key would
+// reach the jobs of all teams through it.
+func mayAccess(rd store.Reader, qu catalog.Queue, js *store.JobState, team weir.TeamName) bool {
+	switch {
+	case js.Spec.Team == "" || !rd.Catalog().RequiresKeys:
+		return true
+	case qu.Public:
+		return js.Spec.Queue == qu.Key()
+	}
+	return js.Spec.Team == team
+}
+
+// callerTeam returns the team whose key a call presents, for logs.
+func (sv *Handler) callerTeam(call jobapi.Call) weir.TeamName {
+	if call.Key == "" {
+		return ""
+	}
+	var team weir.TeamName
+	sv.Store.Read(func(rd store.Reader) { team, _ = rd.TeamForKey(call.Key) })
+	return team
 }
--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -67,11 +67,11 @@
 	if rep.Outcome != jobapi.OK || call.Kind == jobapi.Submit || call.Kind == jobapi.Cancel {
 		level := "debug"
 		// The process that received a call first logs that no leader was found.
-		if rep.Outcome == jobapi.Invalid || rep.Outcome == jobapi.Refused || rep.Outcome == jobapi.Unauthorized || rep.Outcome == jobapi.Unknown ||
-			(rep.Outcome == jobapi.Unavailable && call.Hops == 0) {
+		if rep.Outcome == jobapi.Invalid || rep.Outcome == jobapi.Refused || rep.Outcome == jobapi.Unauthorized ||
+			rep.Outcome == jobapi.Unknown || (rep.Outcome == jobapi.Unavailable && call.Hops == 0) {
 			level = "info"
 		}
-		_ = sv.Logger.Log("level", level, "msg", "call answered", "kind", string(call.Kind), "path", call.Path,
+		_ = sv.Logger.Log("level", level, "msg", "call answered", "kind", string(call.Kind), "path", call.Path, "team", sv.callerTeam(call),
 			"outcome", string(rep.Outcome), "reason", rep.Reason, "took", took.String(), "hops", call.Hops)
 	}
 	return rep
@@ -240,7 +240,7 @@
 		switch {
 		case id == "":
 			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no job id"}
-		case known != nil && !mayAccess(known, jb.Team):
+		case known != nil && !mayAccess(rd, qu, known, jb.Team):
 			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "id is in use"}
 		case known != nil:
 			rep = &jobapi.Reply{Outcome: jobapi.OK, Reason: "known", Phase: known.Phase}
@@ -276,7 +276,7 @@
 		return nil, failed
 	}
 	js := rd.Job(id)
-	if js == nil || !mayAccess(js, team) {
+	if js == nil || !mayAccess(rd, qu, js, team) {
 		return nil, &jobapi.Reply{Outcome: jobapi.NoJob}
 	}
 	return js, nil
