fix: a refused retry of a cancellation is no proof

401 and 429 guarantee that the call had no effect, but a cancellation whose earlier try had no certain outcome was answered with the later try's refusal. It is answered with 504 now, as a submit is. 410 stays: a job that is unknown by now may have been cancelled, and 410 does not deny it.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -70,8 +70,8 @@
 				if id == rl.Roster.Leader() {
 					rl.Roster.SetLeader("")
 				}
-			case err == nil && mayHaveRun && call.Kind == jobapi.Submit && rep.Outcome != jobapi.OK:
-				// A refusal would say that the job certainly does not run.
+			case err == nil && mayHaveRun && deniesEffect(call.Kind, rep.Outcome):
+				// An earlier try may have had the effect that this reply denies.
 				rl.Roster.SetLeader(rep.Leader)
 				return rl.giveUp(call, true, rep.Reason)
 			case err == nil:
@@ -99,6 +99,19 @@
 	}
 }
 
+// deniesEffect reports whether a reply tells the caller that the call certainly had
+// no effect. A cancelled job that is unknown by now may have been cancelled.
+func deniesEffect(kind jobapi.Kind, outcome jobapi.Outcome) bool {
+	switch kind {
+	case jobapi.Submit:
+		return outcome != jobapi.OK
+	case jobapi.Cancel:
+		return outcome == jobapi.Unauthorized || outcome == jobapi.Refused
+	default:
+		return false
+	}
+}
+
 func (rl *Relay) giveUp(call jobapi.Call, mayHaveRun bool, reason string) jobapi.Reply {
 	rep := jobapi.Reply{Outcome: jobapi.Unavailable, Reason: reason, RetryAfter: retryAfter}
 	if mayHaveRun {
--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -117,6 +117,50 @@
 	require.Equal(t, jobapi.Unknown, call(rly, 1500*time.Millisecond).Outcome, "the unresponsive replica may have run the call")
 }
 
+// TestLaterRefusalIsNoProof guards against a caller who is told that the call had no
+// effect, although an earlier try of it may have had one.
+func TestLaterRefusalIsNoProof(t *testing.T) {
+	cases := []struct {
+		kind          jobapi.Kind
+		outcome, want jobapi.Outcome
+	}{
+		{jobapi.Submit, jobapi.Unauthorized, jobapi.Unknown},
+		{jobapi.Submit, jobapi.NoQueue, jobapi.Unknown},
+		{jobapi.Submit, jobapi.Refused, jobapi.Unknown},
+		{jobapi.Submit, jobapi.Invalid, jobapi.Unknown},
+		{jobapi.Submit, jobapi.OK, jobapi.OK},
+		{jobapi.Cancel, jobapi.Unauthorized, jobapi.Unknown},
+		{jobapi.Cancel, jobapi.NoJob, jobapi.NoJob},
+		{jobapi.GetState, jobapi.Unauthorized, jobapi.Unauthorized},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.kind)+" "+string(tc.outcome), func(t *testing.T) {
+			uncertain, leader := newReplica(t, respond(jobapi.Unknown)), newReplica(t, respond(tc.outcome))
+			rly := newRelay(t, uncertain, leader)
+			rly.Roster.SetLeader(uncertain.addr)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			rep := rly.Handle(ctx, jobapi.Call{Kind: tc.kind})
+			require.Equal(t, tc.want, rep.Outcome)
+			require.Positive(t, leader.calls.Load())
+			if tc.want == jobapi.Unknown {
+				require.Equal(t, http.StatusGatewayTimeout, rep.Outcome.HTTPStatus())
+			}
+		})
+	}
+}
+
+// TestFirstRefusalIsPassedOn guards against refusals that are certain, and that the
+// caller is told to be uncertain.
+func TestFirstRefusalIsPassedOn(t *testing.T) {
+	follower, leader := newReplica(t, respond(jobapi.Unavailable)), newReplica(t, respond(jobapi.Unauthorized))
+	rly := newRelay(t, follower, leader)
+	rly.Roster.SetLeader(follower.addr)
+	rep := call(rly, 5*time.Second)
+	require.Equal(t, jobapi.Unauthorized, rep.Outcome)
+	require.Equal(t, http.StatusUnauthorized, rep.Outcome.HTTPStatus())
+}
+
 func TestRetryOnAnotherReplicaAfterLostReply(t *testing.T) {
 	lost, leader := newReplica(t, hang), newReplica(t, respond(jobapi.OK))
 	rly := newRelay(t, lost, leader)
