fix: a version is acknowledged after the leader has applied it

A follower acknowledged a version that it had applied itself. A leader sends the commit index before it applies the entries, so that a configuration sent again to a follower could be acknowledged while the leader still accepted a key that it removes. The leader now confirms the version, with the call that asks for the newest one, so that the configuration itself is not sent again. Without a leader the version is acknowledged as before: the next leader applies it before it answers calls.

--- a/internal/job/handler/catalog.go
+++ b/internal/job/handler/catalog.go
@@ -18,13 +18,13 @@
 
 // receiveCatalog checks and packs a configuration before it is routed to the
 // leader. A version that is not newer than a committed one changes nothing, so
-// it is acknowledged without a leader.
+// the leader only has to confirm that it has applied it.
 func (sv *Handler) receiveCatalog(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	if err := call.Catalog.Check(); err != nil {
 		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
 	}
 	if call.Catalog.Version <= sv.committedVersion() {
-		return jobapi.Reply{Outcome: jobapi.OK, Reason: "version is not newer"}
+		return sv.confirmCatalog(ctx, call.Catalog.Version)
 	}
 	packed, err := call.Catalog.Pack()
 	if err != nil {
@@ -34,6 +34,21 @@
 	return sv.route(ctx, call)
 }
 
+// confirmCatalog acknowledges a version that this replica has applied, once the leader
+// has applied it too. A follower may apply an entry before the leader does, which
+// until then accepts keys that the version removes. Without a leader the version is
+// acknowledged as well: the next one applies it before it answers calls.
+func (sv *Handler) confirmCatalog(ctx context.Context, version int64) jobapi.Reply {
+	rep := sv.route(ctx, jobapi.Call{Kind: jobapi.GetCatalog, Number: sv.committedVersion()})
+	switch {
+	case rep.Outcome == jobapi.Unavailable, rep.Outcome == jobapi.OK && rep.Version >= version:
+		return jobapi.Reply{Outcome: jobapi.OK, Reason: "version is not newer", Leader: rep.Leader}
+	case rep.Outcome == jobapi.OK:
+		return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: "the leader has not applied the version", RetryAfter: retryUnavailable}
+	}
+	return rep
+}
+
 // putCatalog commits a configuration that the receiving process has checked. It
 // acknowledges a version that is not newer as well, since clients may resend an
 // accepted configuration at any time.
