feat: teams and keys in the product's own API

The catalog holds teams and public queues, calls about jobs carry a key as a bearer token, and GET /v1/teams lists each team's weight, cap, use and numbers of pending and running jobs, with teams that have left the configuration but still have jobs. GET /v1/catalog leaves the keys out: callers reach the same listener, and it has no operators' tokens. Refusals are not listed, since nothing counts them yet.

The client's error says if an earlier attempt may have had an effect.

--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -47,6 +47,8 @@
 	// StartWave and GetWave start and query a maintenance wave.
 	StartWave Kind = "startWave"
 	GetWave   Kind = "getWave"
+	// ListTeams returns the teams with what they use.
+	ListTeams Kind = "listTeams"
 )
 
 // Call is one call. Fields that its kind does not use are empty.
@@ -105,7 +107,7 @@
 	Unknown Outcome = "unknown"
 )
 
-// HTTPStatus returns the HTTP status code of an outcome. 429 and 503 guarantee
+// HTTPStatus returns the HTTP status code of an outcome. 401, 429 and 503 guarantee
 // that the call had no effect; after 504 it may or may not take effect.
 func (oc Outcome) HTTPStatus() int {
 	switch oc {
@@ -147,6 +149,7 @@
 	Version    int64           `json:"version,omitempty"`
 	Packed     *catalog.Packed `json:"packed,omitempty"`
 	Done       bool            `json:"done,omitempty"`
+	Teams      []TeamStatus    `json:"teams,omitempty"`
 	RetryAfter time.Duration   `json:"retryAfter,omitempty"`
 	// Leader is the id of the leader, if it handled the call.
 	Leader string `json:"leader,omitempty"`
@@ -155,6 +158,22 @@
 	AnnounceTo string `json:"announceTo,omitempty"`
 }
 
+// TeamStatus describes a team; it contains no keys.
+type TeamStatus struct {
+	Name   weir.TeamName `json:"name"`
+	Weight float64       `json:"weight,omitempty"`
+	// Cap and Use are what the team's runs may request and do request; a resource
+	// with a cap of 0 has no limit.
+	Cap spec.Resources `json:"cap,omitzero"`
+	Use spec.Resources `json:"use,omitzero"`
+	// RunningJobs counts the jobs with a run that may be on a worker, PendingJobs the
+	// others that have not ended.
+	PendingJobs int `json:"pendingJobs,omitempty"`
+	RunningJobs int `json:"runningJobs,omitempty"`
+	// Removed teams are not in the configuration; their accepted jobs continue.
+	Removed bool `json:"removed,omitempty"`
+}
+
 // Handler handles calls.
 type Handler interface {
 	Handle(ctx context.Context, call Call) Reply
--- a/internal/contract/jobhttp/client.go
+++ b/internal/contract/jobhttp/client.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"time"
 
+	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/contract/jobapi"
 
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 )
 
@@ -35,6 +37,8 @@
 type Client struct {
 	// Addrs holds the addresses as host:port.
 	Addrs []string
+	// Key is the key of a team for calls about jobs; empty sends none.
+	Key auth.Key
 }
 
 // Do sends a body as JSON and returns the decoded answer and its text. An outcome
@@ -45,16 +49,23 @@
 		return Response{}, nil, &Error{Op: path, Kind: KindFormat, Err: err}
 	}
 	var lastErr error = &Error{Op: path, Kind: KindUnreachable}
+	mayHaveRun := false // an earlier attempt may have had an effect
 	for {
 		for _, addr := range cl.Addrs {
 			ans, text, err := cl.callOnce(ctx, method, addr, path, data)
 			switch {
 			case err != nil:
+				mayHaveRun = true
 				lastErr = &Error{Op: path + " at " + addr, Kind: KindUnreachable, Err: err}
 			case ans.Outcome == jobapi.Unavailable || ans.Outcome == jobapi.Unknown || ans.Outcome == jobapi.Refused:
+				mayHaveRun = mayHaveRun || ans.Outcome == jobapi.Unknown
 				lastErr = &Error{Op: path + " at " + addr, Kind: KindUnreachable, Err: errors.New(ans.Reason)}
 			case ans.Outcome != jobapi.OK && ans.Outcome != "":
-				return ans, text, &Error{Op: path, Kind: KindRefused, Err: errors.New(string(ans.Outcome) + " " + ans.Reason)}
+				reason := string(ans.Outcome) + " " + ans.Reason
+				if mayHaveRun && method != http.MethodGet {
+					reason += " (an earlier attempt may have had an effect)"
+				}
+				return ans, text, &Error{Op: path, Kind: KindRefused, Err: errors.New(reason)}
 			default:
 				return ans, text, nil
 			}
@@ -77,6 +88,9 @@
 	if err != nil {
 		return Response{}, nil, err
 	}
+	if cl.Key != "" {
+		req.Header.Set(echo.HeaderAuthorization, bearerPrefix+string(cl.Key))
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return Response{}, nil, err
--- a/internal/contract/jobhttp/jobhttp.go
+++ b/internal/contract/jobhttp/jobhttp.go
@@ -1,8 +1,9 @@
 // Package jobhttp implements the product's own HTTP API for jobs, queues, workers
 // and waves: JSON bodies, durations in milliseconds.
 //
-//	PUT    /v1/catalog                      queues and pools, with an increasing version
-//	GET    /v1/catalog
+//	PUT    /v1/catalog                      queues, pools and teams, with an increasing version
+//	GET    /v1/catalog                      without the teams' keys
+//	GET    /v1/teams                        {"teams":[{"name":"counters","weight":2,"pendingJobs":3,...}]}
 //	POST   /v1/jobs    {"queue":"Q","id":"ID","job":{...}}   idempotent
 //	GET    /v1/jobs?queue=Q&id=ID           {"phase":"running"}
 //	GET    /v1/jobs?queue=Q                 {"pending":12}
@@ -10,14 +11,17 @@
 //	PUT    /v1/workers/ID, DELETE /v1/workers/ID
 //	POST   /v1/waves, GET /v1/waves/NUMBER
 //
-// Errors: 400 can never succeed, 404 no such queue, 410 no such job or wave, 429
-// and 503 certainly had no effect (retry after Retry-After), 504 may or may not
-// take effect: send it again.
+// If the catalog has teams, calls to /v1/jobs need a key of one, unless the queue is
+// public: "Authorization: Bearer KEY".
+//
+// Errors: 400 can never succeed, 401 no key or an unknown one, 404 no such queue, 410
+// no such job or wave, 429 and 503 certainly had no effect (retry after Retry-After),
+// 504 may or may not take effect: send it again.
 //
 // Usage:
 //
 //	http.ListenAndServe(addr, jobhttp.Routes(handler, wall))
-//	cl := &jobhttp.Client{Addrs: addrs}
+//	cl := &jobhttp.Client{Addrs: addrs, Key: key}
 //	rep, err := cl.Do(ctx, http.MethodPost, "/v1/jobs", submission)
 package jobhttp
 
@@ -29,6 +33,7 @@
 	"strings"
 	"time"
 
+	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/ops"
 	"greengageweir/internal/common/strictjson"
 	"greengageweir/internal/config/catalog"
@@ -57,6 +62,8 @@
 	MaxAttempts   int           `json:"maxAttempts"`
 	// Adviser is set if the adviser decides which workers may run a step.
 	Adviser *AdviserSettings `json:"advice,omitempty"`
+	// Public queues take calls without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // AdviserSettings describes the adviser: its response time is BaseMillis plus
@@ -73,6 +80,40 @@
 	Version int64          `json:"version"`
 	Queues  []Queue        `json:"queues"`
 	Pools   []catalog.Pool `json:"pools"`
+	// Teams share the pools. Without the field, calls need no key.
+	Teams []Team `json:"teams,omitzero"`
+}
+
+// Team is the JSON form of catalog.Team, with its keys in the clear.
+type Team struct {
+	Name   weir.TeamName `json:"name"`
+	Keys   []auth.Key    `json:"keys,omitempty"`
+	Weight float64       `json:"weight,omitempty"`
+	Cap    Resources     `json:"cap,omitzero"`
+}
+
+// Resources is the JSON form of spec.Resources.
+type Resources struct {
+	MilliCPU int `json:"milliCpu,omitempty"`
+	MemoryMB int `json:"memoryMb,omitempty"`
+	GPU      int `json:"gpu,omitempty"`
+}
+
+// TeamStatus is the JSON form of jobapi.TeamStatus.
+type TeamStatus struct {
+	Name        weir.TeamName `json:"name"`
+	Weight      float64       `json:"weight"`
+	Cap         Resources     `json:"cap"`
+	Use         Resources     `json:"use"`
+	PendingJobs int           `json:"pendingJobs"`
+	RunningJobs int           `json:"runningJobs"`
+	// Removed teams are not in the catalog; their accepted jobs continue.
+	Removed bool `json:"removed,omitempty"`
+}
+
+// TeamList is the response body of GET /v1/teams.
+type TeamList struct {
+	Teams []TeamStatus `json:"teams"`
 }
 
 // queueHost is the host part of all queue keys, since this API has no hosts.
@@ -84,6 +125,7 @@
 		queue := catalog.Queue{
 			Name: qu.Name, Host: queueHost, Prefix: "/" + qu.Name + "/", Pool: qu.Pool, Timeout: millis(qu.TimeoutMillis),
 			TargetLatency: millis(qu.TargetMillis), Stretch: qu.Stretch, Priority: qu.Priority, MaxAttempts: qu.MaxAttempts,
+			Public: qu.Public,
 		}
 		if ad := qu.Adviser; ad != nil {
 			queue.Adviser = &catalog.AdviserSettings{
@@ -92,9 +134,36 @@
 		}
 		out.Queues = append(out.Queues, queue)
 	}
+	if ct.Teams == nil {
+		return out
+	}
+	out.RequiresKeys, out.KeySalt = true, catalog.NewKeySalt()
+	for _, tm := range ct.Teams {
+		team := catalog.Team{Name: tm.Name, Weight: tm.Weight, Cap: spec.Resources(tm.Cap)}
+		for _, key := range tm.Keys {
+			team.KeyHashes = append(team.KeyHashes, catalog.HashKey(out.KeySalt, key))
+		}
+		out.Teams = append(out.Teams, team)
+	}
 	return out
 }
 
+// withoutKeys returns the catalog as its operator wrote it, without the teams' keys:
+// callers reach the same listener.
+func withoutKeys(document []byte) ([]byte, error) {
+	var ct Catalog
+	if err := json.Unmarshal(document, &ct); err != nil {
+		return nil, strictjson.Redact(err)
+	}
+	if ct.Teams == nil {
+		return document, nil
+	}
+	for ix := range ct.Teams {
+		ct.Teams[ix].Keys = nil
+	}
+	return json.Marshal(ct)
+}
+
 // Step is the JSON form of spec.Step.
 type Step struct {
 	Count          int    `json:"count"`
@@ -153,7 +222,7 @@
 	MaxParallel    int      `json:"atOnce"`
 }
 
-// Response is the body of every response but that of GET /v1/catalog.
+// Response is the body of every response but those of GET /v1/catalog and /v1/teams.
 type Response struct {
 	Outcome jobapi.Outcome `json:"outcome"`
 	Reason  string         `json:"reason,omitempty"`
@@ -179,8 +248,13 @@
 		if rep.Outcome != jobapi.OK {
 			return writeReply(ctx, rep)
 		}
-		return ctx.JSONBlob(http.StatusOK, rep.Document)
+		document, err := withoutKeys(rep.Document)
+		if err != nil {
+			return err
+		}
+		return ctx.JSONBlob(http.StatusOK, document)
 	})
+	ech.GET("/v1/teams", sv.listTeams)
 	ech.POST("/v1/jobs", sv.submit)
 	ech.GET("/v1/jobs", sv.jobRoute(jobapi.GetState))
 	ech.DELETE("/v1/jobs", sv.jobRoute(jobapi.Cancel))
@@ -231,7 +305,7 @@
 	var ct Catalog
 	body, err := decodeBody(ctx, &ct)
 	if err != nil {
-		return writeInvalid(ctx, err)
+		return writeInvalid(ctx, strictjson.Redact(err))
 	}
 	return sv.call(ctx, jobapi.Call{Kind: jobapi.PutCatalog, Catalog: ct.toCatalog(body)})
 }
@@ -241,18 +315,40 @@
 	if _, err := decodeBody(ctx, &sub); err != nil {
 		return writeInvalid(ctx, err)
 	}
-	call := jobCall(jobapi.Submit, sub.Queue, sub.ID)
+	call := jobCall(ctx, jobapi.Submit, sub.Queue, sub.ID)
 	call.Job = sub.Job.toSpec()
 	return sv.call(ctx, call)
 }
 
-func jobCall(kind jobapi.Kind, queue string, id weir.JobID) jobapi.Call {
-	return jobapi.Call{Kind: kind, Host: queueHost, Path: "/" + queue + "/" + string(id)}
+// bearerPrefix precedes the key in the Authorization header.
+const bearerPrefix = "Bearer "
+
+func jobCall(ctx echo.Context, kind jobapi.Kind, queue string, id weir.JobID) jobapi.Call {
+	call := jobapi.Call{Kind: kind, Host: queueHost, Path: "/" + queue + "/" + string(id)}
+	if key, ok := strings.CutPrefix(ctx.Request().Header.Get(echo.HeaderAuthorization), bearerPrefix); ok {
+		call.Key = auth.Key(key)
+	}
+	return call
+}
+
+func (sv *server) listTeams(ctx echo.Context) error {
+	rep := sv.handler.Handle(ctx.Request().Context(), jobapi.Call{Kind: jobapi.ListTeams})
+	if rep.Outcome != jobapi.OK {
+		return writeReply(ctx, rep)
+	}
+	list := TeamList{Teams: []TeamStatus{}}
+	for _, tm := range rep.Teams {
+		list.Teams = append(list.Teams, TeamStatus{
+			Name: tm.Name, Weight: tm.Weight, Cap: Resources(tm.Cap), Use: Resources(tm.Use),
+			PendingJobs: tm.PendingJobs, RunningJobs: tm.RunningJobs, Removed: tm.Removed,
+		})
+	}
+	return ctx.JSON(http.StatusOK, list)
 }
 
 func (sv *server) jobRoute(kind jobapi.Kind) echo.HandlerFunc {
 	return func(ctx echo.Context) error {
-		return sv.call(ctx, jobCall(kind, ctx.QueryParam("queue"), weir.JobID(ctx.QueryParam("id"))))
+		return sv.call(ctx, jobCall(ctx, kind, ctx.QueryParam("queue"), weir.JobID(ctx.QueryParam("id"))))
 	}
 }
 
--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -192,6 +192,8 @@
 		return sv.startWave(ctx, call)
 	case jobapi.GetWave:
 		return sv.getWave(call)
+	case jobapi.ListTeams:
+		return sv.listTeams()
 	}
 	return jobapi.Reply{Outcome: jobapi.Invalid, Reason: "unknown kind of call"}
 }
