feat: weirctl lists teams and sends a team's key

There is no flag with the key itself, as there is none for tokens: other users can read command lines.

--- a/cmd/weirctl/job.go
+++ b/cmd/weirctl/job.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"greengageweir/internal/common/auth"
 	"greengageweir/internal/contract/jobhttp"
 	"greengageweir/internal/job/store"
 
@@ -26,17 +27,50 @@
 }
 
 func (jr *jobFlags) request(method, path string, body any) (jobhttp.Response, []byte, error) {
+	return jr.requestAs("", method, path, body)
+}
+
+// requestAs sends a request with the key of a team, without one if it is empty.
+func (jr *jobFlags) requestAs(key auth.Key, method, path string, body any) (jobhttp.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), jr.Timeout)
 	defer cancel()
-	return (&jobhttp.Client{Addrs: jr.Jobs}).Do(ctx, method, path, body)
+	return (&jobhttp.Client{Addrs: jr.Jobs, Key: key}).Do(ctx, method, path, body)
+}
+
+// keyVariable is the environment variable with a team's key.
+const keyVariable = "WEIR_KEY"
+
+// keyFlags is the flag with a team's key. No flag takes the key itself, since other
+// users can read the command lines of processes.
+type keyFlags struct {
+	KeyFile string `long:"key-file" env:"WEIR_KEY_FILE" description:"File with the team's key; without it, the key is read from the environment variable WEIR_KEY"`
+}
+
+// key returns the team's key, "" if none is given.
+func (kf *keyFlags) key() (auth.Key, error) {
+	if kf.KeyFile == "" {
+		return auth.Key(os.Getenv(keyVariable)), nil
+	}
+	return auth.LoadKey(kf.KeyFile)
 }
 
-// jobRefFlags are the flags that name a job.
+// jobRefFlags are the flags that name a job and the team that it belongs to.
 type jobRefFlags struct {
+	keyFlags
 	Queue string `long:"queue" required:"true" description:"Name of the queue"`
 	ID    string `long:"id" description:"The job's id"`
 }
 
+// call sends a call about jobs to the given processes, with the team's key.
+func (jr *jobRefFlags) call(to *jobFlags, method, path string, body any) (jobhttp.Response, error) {
+	key, err := jr.key()
+	if err != nil {
+		return jobhttp.Response{}, err
+	}
+	ans, _, err := to.requestAs(key, method, path, body)
+	return ans, err
+}
+
 func (jr *jobRefFlags) path() string {
 	return "/v1/jobs?" + url.Values{"queue": {jr.Queue}, "id": {jr.ID}}.Encode()
 }
@@ -63,7 +97,7 @@
 		sub.ID = weir.JobID(uuid.NewString())
 		js.ID = string(sub.ID)
 	}
-	if _, _, err := js.request(http.MethodPost, "/v1/jobs", sub); err != nil {
+	if _, err := js.call(&js.jobFlags, http.MethodPost, "/v1/jobs", sub); err != nil {
 		return err
 	}
 	fmt.Printf("accepted %s\n", sub.ID)
@@ -76,7 +110,7 @@
 func (js *jobSubmit) waitUntilEnded() error {
 	begin := time.Now()
 	for {
-		ans, _, err := js.request(http.MethodGet, js.path(), nil)
+		ans, err := js.call(&js.jobFlags, http.MethodGet, js.path(), nil)
 		if err != nil {
 			return err
 		}
@@ -101,7 +135,7 @@
 
 // Execute implements flags.Commander.
 func (js *jobShow) Execute([]string) error {
-	ans, _, err := js.request(http.MethodGet, js.path(), nil)
+	ans, err := js.call(&js.jobFlags, http.MethodGet, js.path(), nil)
 	if err != nil {
 		return err
 	}
@@ -120,7 +154,7 @@
 
 // Execute implements flags.Commander.
 func (jc *jobCancel) Execute([]string) error {
-	ans, _, err := jc.request(http.MethodDelete, jc.path(), nil)
+	ans, err := jc.call(&jc.jobFlags, http.MethodDelete, jc.path(), nil)
 	if err == nil {
 		fmt.Println(ans.Phase)
 	}
@@ -129,7 +163,7 @@
 
 type catalogPut struct {
 	jobFlags
-	File string `long:"file" required:"true" description:"JSON file with version, queues and pools"`
+	File string `long:"file" required:"true" description:"JSON file with version, queues, pools and teams"`
 }
 
 // Execute implements flags.Commander.
--- a/cmd/weirctl/main.go
+++ b/cmd/weirctl/main.go
@@ -42,10 +42,13 @@
 			{Name: "show", Short: "Show a job, or the number of pending jobs of a queue", Data: &jobShow{}},
 			{Name: "cancel", Short: "Cancel a job", Data: &jobCancel{}},
 		}},
-		{Name: "catalog", Short: "Show and change queues and pools of jobs", Sub: []cli.Command{
+		{Name: "catalog", Short: "Show and change queues, pools and teams", Sub: []cli.Command{
 			{Name: "put", Short: "Apply a version", Data: &catalogPut{}},
 			{Name: "show", Short: "Show the version in force", Data: &catalogShow{}},
 		}},
+		{Name: "team", Short: "Show the teams that share the pools", Sub: []cli.Command{
+			{Name: "list", Short: "Show weights, use and caps, and numbers of jobs", Data: &teamList{}},
+		}},
 		{Name: "usage", Short: "Show settled usage", Data: &usageCommand{}},
 		{Name: "state", Short: "Inspect one process", Sub: []cli.Command{
 			{Name: "dump", Short: "Print the state of a process", Data: &stateDump{}},
--- a/internal/common/auth/auth.go
+++ b/internal/common/auth/auth.go
@@ -27,7 +27,7 @@
 const (
 	KindRead          Kind = "cannot read token file"
 	KindTokenTooShort Kind = "a token needs at least 16 characters"
-	KindEmpty         Kind = "token file is empty"
+	KindEmpty         Kind = "token or key file is empty"
 )
 
 // Error is the error type of this package.
