--- a/internal/job/handler/handler_test.go
+++ b/internal/job/handler/handler_test.go
@@ -47,10 +47,24 @@
 	workers       []*taskworker.Worker
 	announcements []jobapi.Announcement
 	stop          func()
+	// logger and snapshotEvery apply to the process when it starts.
+	logger        log.Logger
+	snapshotEvery uint64
+	handler       *handler.Handler
+	leadership    *switchedLeadership
 	// adviseCalls counts the calls of the adviser, which allows only w1.
 	adviseCalls atomic.Int32
 }
 
+// switchedLeadership is a member of the log whose leader lease can be made to lapse.
+type switchedLeadership struct {
+	*node.Node
+	lapsed atomic.Bool
+}
+
+// IsLeader implements weir.Leadership.
+func (sl *switchedLeadership) IsLeader() bool { return !sl.lapsed.Load() && sl.Node.IsLeader() }
+
 // Advise implements weir.Adviser.
 func (sy *system) Advise(context.Context, weir.TaskRef, []weir.InstanceID) (weir.Advice, error) {
 	if sy.adviseCalls.Add(1) == 1 {
@@ -59,8 +73,11 @@
 	return weir.Advice{Tickets: map[weir.InstanceID]string{"w1": "ticket"}, Validity: 500 * time.Millisecond}, nil
 }
 
-func newSystem(t *testing.T, workers int) *system {
-	sy := &system{t: t, dir: filepath.Join(t.TempDir(), "data")}
+func newSystem(t *testing.T, workers int, options ...func(sy *system)) *system {
+	sy := &system{t: t, dir: filepath.Join(t.TempDir(), "data"), logger: log.NewNopLogger()}
+	for _, set := range options {
+		set(sy)
+	}
 	require.NoError(t, wal.FormatInitial(sy.dir, []string{self}))
 	for ix := range workers {
 		wk := &taskworker.Worker{ID: weir.InstanceID(fmt.Sprint("w", ix)), Born: 1, Clock: clock.System{}}
@@ -78,23 +95,26 @@
 
 // start starts the process on the existing data folder.
 func (sy *system) start() {
-	steady, wall, lg := clock.BootTime{}, clock.Wall{}, log.NewNopLogger()
+	steady, wall, lg := clock.BootTime{}, clock.Wall{}, sy.logger
 	str := store.New()
 	str.Clock = steady
 	lks := &links.Links{Self: peer.Identity{ID: self}, Token: "token", Logger: lg}
 	nod := &node.Node{
 		ID: self, Dir: sy.dir, StateMachine: str, Send: lks.Send, Clock: steady, Logger: lg,
 		Heartbeat: 20 * time.Millisecond, Election: 150 * time.Millisecond,
+		SnapshotEvery: sy.snapshotEvery,
 	}
+	sy.leadership = &switchedLeadership{Node: nod}
 	com := &scheduler.Committer{Log: nod, Wall: wall}
 	own := &scheduler.Scheduler{
-		Store: str, Committer: com, Leadership: nod, Workers: taskapi.NewClient(steady), Clock: steady, Wall: wall, Logger: lg,
+		Store: str, Committer: com, Leadership: sy.leadership, Workers: taskapi.NewClient(steady), Clock: steady, Wall: wall, Logger: lg,
 		Lease: 3 * time.Second, Retention: time.Minute, Adviser: sy,
 	}
 	str.OnApplied = own.Wake
 	svc := &handler.Handler{
 		Self: self, Store: str, Committer: com, Scheduler: own, Leader: nod, Links: lks, Clock: steady, Wall: wall, Logger: lg,
 	}
+	sy.handler = svc
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	components := []weir.Component{lks, nod, com, own}
