test: an empty key in the configuration authorizes nobody

A call without a key carries the empty key: if a team had one in the configuration, it would be found.

--- a/internal/job/handler/teams_test.go
+++ b/internal/job/handler/teams_test.go
@@ -85,7 +85,7 @@
 	putCatalog(t, sy)
 	require.Equal(t, jobapi.OK, sy.call(jobapi.Submit, "q", "early", "").Outcome, "no key is needed without teams")
 	require.Equal(t, jobapi.OK, sy.call(jobapi.Submit, "q", "early-2", countersKey).Outcome, "a key is ignored without teams")
-	sy.putTeams(2, team("counters", countersKey), team("office", officeKey))
+	sy.putTeams(2, team("counters", countersKey), team("office", officeKey), team("careless", ""))
 	require.Equal(t, jobapi.OK, sy.call(jobapi.Submit, "q", "mine", countersKey).Outcome)
 	require.Equal(t, jobapi.OK, sy.call(jobapi.Submit, "public", "free", "").Outcome)
 	require.Equal(t, jobapi.OK, sy.call(jobapi.Submit, "public", "free-2", officeKey).Outcome)
