feat: example of a catalog with two teams

One team has two keys, as during a rotation, and one queue is public. A test sends it through the API, since check-examples reads site folders only.

--- a/internal/contract/jobhttp/teams_test.go
+++ b/internal/contract/jobhttp/teams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -93,6 +94,18 @@
 	require.Equal(t, `{"version":1, "queues":[]}`, fh.serve(http.MethodGet, "/v1/catalog", "", "").Body.String(), "without teams as it was sent")
 }
 
+// TestExampleWithTeams guards against an example that no process accepts.
+func TestExampleWithTeams(t *testing.T) {
+	document, err := os.ReadFile("../../../examples/jobs/teams.json")
+	require.NoError(t, err)
+	fh := &fixedHandler{reply: jobapi.Reply{Outcome: jobapi.OK}}
+	require.Equal(t, http.StatusOK, fh.serve(http.MethodPut, "/v1/catalog", string(document), "").Code)
+	ct := fh.calls[0].Catalog
+	require.NoError(t, ct.Check())
+	require.True(t, ct.RequiresKeys)
+	require.Len(t, ct.Teams, 2)
+}
+
 func TestTeams(t *testing.T) {
 	fh := &fixedHandler{reply: jobapi.Reply{Outcome: jobapi.OK, Teams: []jobapi.TeamStatus{{
 		Name: weir.TeamName("counters"), Weight: 2, Cap: spec.Resources{MilliCPU: 4000}, Use: spec.Resources{MilliCPU: 500, MemoryMB: 64},
