feat: soak of jobs with teams and a removed key

The soak and its load knew nothing of jobs or keys. "weirstandin job-load" submits jobs as the teams of a catalog, one of them several times as often as each other, repeats calls with keys that an earlier version had, and lets another team ask for each job. scripts/soak-jobs.sh runs it on three processes while it kills and freezes them. Weighed: to teach the existing load, which sends requests of another API and compares the journals of other workers.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 LOAD     ?= small
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test lint fmt unit check-examples soak kill-each measures play score bench slopes clean
+.PHONY: all build demo test lint fmt unit check-examples soak soak-jobs kill-each measures play score bench slopes clean
 
 all: build
 
@@ -43,6 +43,9 @@
 soak: build
 	scripts/soak.sh $(SEED) $(DURATION)
 
+soak-jobs: build
+	scripts/soak-jobs.sh $(SEED) $(DURATION)
+
 kill-each: build
 	scripts/kill-each.sh
 
--- a/cmd/weirstandin/main.go
+++ b/cmd/weirstandin/main.go
@@ -14,6 +14,7 @@
 		{Name: "workers", Short: "Run the workers of one site and their platform", Data: &workersCommand{}},
 		{Name: "task-workers", Short: "Run workers that simulate tasks", Data: &taskWorkersCommand{}},
 		{Name: "load", Short: "Send a mix of bookings and reads and record the results", Data: &loadCommand{}},
+		{Name: "job-load", Short: "Submit jobs as several teams and check the answers", Data: &jobLoadCommand{}},
 		{Name: "relay", Short: "Forward connections between zones and cut zones off on request", Data: &relayCommand{}},
 		{Name: "peaks", Short: "Compare capacity policies under peaks on the real placement", Data: &peaksCommand{}},
 		{Name: "play", Short: "Run a load against the real job scheduler and a simulated fleet", Data: &playCommand{}},
