fix: what follows a document is named as such, without its content

Documents that the client or the stand-in load cannot read are not quoted either.

The test of keys in logs waits less for a leader that cannot be reached.

--- a/cmd/weirstandin/job_load.go
+++ b/cmd/weirstandin/job_load.go
@@ -11,6 +11,7 @@
 	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/clock"
 	"greengageweir/internal/common/settings"
+	"greengageweir/internal/common/strictjson"
 	"greengageweir/internal/contract/jobhttp"
 	"greengageweir/internal/standin/jobload"
 
@@ -87,7 +88,7 @@
 	}
 	var ct jobhttp.Catalog
 	if err := json.Unmarshal(data, &ct); err != nil {
-		return nil, nil, errors.Wrap(err, path)
+		return nil, nil, errors.Wrap(strictjson.Redact(err), path)
 	}
 	var keys []auth.Key
 	for _, tm := range ct.Teams {
--- a/internal/common/strictjson/redact.go
+++ b/internal/common/strictjson/redact.go
@@ -23,14 +23,14 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &own):
+		return &Error{Op: own.Op, Kind: own.Kind}
 	case errors.As(err, &syntax):
 		err = errors.Errorf("not valid at byte %d", syntax.Offset)
 	case errors.As(err, &wrongType):
 		err = errors.Errorf("wrong type of %s at byte %d", wrongType.Field, wrongType.Offset)
 	case errors.As(err, &tooLarge):
 		err = errors.Errorf("over %d bytes", tooLarge.Limit)
-	case errors.As(err, &own):
-		return &Error{Op: own.Op, Kind: own.Kind}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		err = errors.New("cut short")
 	default:
--- a/internal/contract/jobhttp/client.go
+++ b/internal/contract/jobhttp/client.go
@@ -10,6 +10,7 @@
 
 	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/errkind"
+	"greengageweir/internal/common/strictjson"
 	"greengageweir/internal/contract/jobapi"
 
 	"github.com/labstack/echo/v4"
@@ -46,7 +47,8 @@
 func (cl *Client) Do(ctx context.Context, method, path string, body any) (Response, []byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
-		return Response{}, nil, &Error{Op: path, Kind: KindFormat, Err: err}
+		// A catalog holds keys.
+		return Response{}, nil, &Error{Op: path, Kind: KindFormat, Err: strictjson.Redact(err)}
 	}
 	var lastErr error = &Error{Op: path, Kind: KindUnreachable}
 	mayHaveRun := false // an earlier attempt may have had an effect
--- a/internal/job/handler/teams_test.go
+++ b/internal/job/handler/teams_test.go
@@ -431,14 +431,20 @@
 	}
 	unreachable := *follower
 	unreachable.Leader = fixedLeader("127.0.0.1:9")
-	forwarding := []jobapi.Handler{
-		sy.handler, follower, &unreachable, &relay.Relay{Links: lks, Roster: ros, Clock: steady, Logger: lg},
+	forwarding := []struct {
+		handler jobapi.Handler
+		timeout time.Duration
+	}{
+		{sy.handler, waitTimeout},
+		{follower, waitTimeout},
+		{&unreachable, 50 * time.Millisecond},
+		{&relay.Relay{Links: lks, Roster: ros, Clock: steady, Logger: lg}, waitTimeout},
 	}
-	for ix, hd := range forwarding {
+	for ix, fw := range forwarding {
 		for _, kind := range []jobapi.Kind{jobapi.Submit, jobapi.GetState, jobapi.Cancel} {
 			for _, key := range []auth.Key{secret + "-a", secret + "-b", secret + "-unknown"} {
-				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				rep := hd.Handle(ctx, teamCall(kind, "q", fmt.Sprint("job-", ix), key))
+				ctx, cancel := context.WithTimeout(context.Background(), fw.timeout)
+				rep := fw.handler.Handle(ctx, teamCall(kind, "q", fmt.Sprint("job-", ix), key))
 				cancel()
 				fmt.Fprintf(&texts, "%+v %#v\n", rep, rep)
 			}
@@ -459,6 +465,7 @@
 	texts.Write(dump)
 	metrics.WritePrometheus(&texts, true)
 
+	require.Contains(t, texts.String(), "weir_unauthorized_total ")
 	require.Contains(t, lines.String(), "unauthorized")
 	require.Contains(t, lines.String(), "share a key")
 	require.Contains(t, lines.String(), `"team":"counters"`)
