--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -133,6 +133,16 @@
 mutant suspects-are-kept-apart internal/schedule/placement/pool.go 's/shared := .*$/shared := false/' ./internal/schedule/placement
 mutant suspects-start-alone internal/schedule/placement/placement.go 's/if wk.ReservedFor != "" \&\& /if false \&\& /' ./internal/schedule/placement
 mutant crash-needs-confirmed-start $T/session.go 's/started := .*answeredAt.IsZero() \&\& /started := /' ./$T ./$J/scheduler
+H=$J/handler
+mutant key-is-required $H/authorize.go 's/if qu.Public || !rd.Catalog().RequiresKeys {/if true {/' ./$H
+mutant empty-key-is-no-key $H/authorize.go 's/ok \&\& key != ""/ok/' ./$H
+mutant public-queue-has-its-own-jobs $H/authorize.go 's/return js.Spec.Queue == qu.Key()/return true/' ./$H
+mutant teams-are-apart $H/authorize.go 's/return js.Spec.Team == team/return true/' ./$H
+mutant keys-need-leadership $H/handler.go 's/if sv.Scheduler.Ready() {/if sv.Leader.LeaderID() == sv.Self {/' ./$H
+mutant leader-confirms-version $H/catalog.go 's/return sv.confirmCatalog(ctx, call.Catalog.Version)/return jobapi.Reply{Outcome: jobapi.OK}/' ./$H
+mutant empty-teams-refuse-all platform/control.go 's/if wc.Tenants == nil {/if len(wc.Tenants) == 0 {/' ./platform
+mutant document-is-not-quoted internal/common/strictjson/redact.go 's/case errors.As(err, &wrongType):/case errors.As(err, \&wrongType):\n\t\treturn wrongType/' ./platform
+mutant refused-retry-is-no-proof internal/entry/relay/relay.go 's/mayHaveRun \&\& deniesEffect(call.Kind, rep.Outcome)/false/' ./internal/entry/relay
 if [ $MISSED -ne 0 ]; then
   echo "mutants: some rules are not missed"
   exit 1
