test: keys come and go during the soak of jobs

The removed key of the soak was removed before its faults. Further keys are now added and removed all the time; each must be refused from the acknowledgement on, whoever leads. A copy of the script that does not remove them fails.

--- a/scripts/soak-jobs.sh
+++ b/scripts/soak-jobs.sh
@@ -2,7 +2,8 @@
 # Three processes that take jobs and four task workers on loopback, with two teams of
 # which one sends five times as much as the other. A key is removed, then jobs are
 # submitted while processes are killed and frozen, the leader among them: each accepted
-# job must be done, and each call with the removed key refused.
+# job must be done, and each call with the removed key refused. Meanwhile further keys
+# are added and removed; each must be refused from the acknowledgement on.
 # Usage: scripts/soak-jobs.sh SEED DURATION
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -51,6 +52,28 @@
 "$BIN/weirstandin" job-load "${JOBS[@]}" --queue bookings --catalog "$OUT/teams.json" --earlier examples/jobs/teams.json \
   --hot phone-app --rate 20 --duration "$DURATION" --seed "$SEED" >"$OUT/result.json" 2>"$OUT/load.log" &
 LOAD=$!
+# put_key VERSION [KEY]: a version whose team phone-app has a further key, or not.
+put_key() {
+  sed -e "s/\"version\": 3/\"version\": $1/" -e "s/\"replace-me-phone-app-2026-12\"/&${2:+, \"$2\"}/" "$OUT/teams.json" >"$OUT/rotated.json"
+  "$BIN/weirctl" catalog put "${JOBS[@]}" --file "$OUT/rotated.json" --timeout 30s >/dev/null
+}
+rotate_keys() {
+  local n key
+  for ((n = 1; ; n++)); do
+    key="replace-me-rotated-$n"
+    put_key $((2 * n + 10)) "$key" 2>>"$OUT/rotation.log" || continue
+    WEIR_KEY=$key "$BIN/weirctl" job show "${JOBS[@]}" --queue bookings >/dev/null 2>"$OUT/rotation.err" ||
+      ! grep -q unauthorized "$OUT/rotation.err" || echo "key $n is refused after it was added" >>"$OUT/broken"
+    put_key $((2 * n + 11)) 2>>"$OUT/rotation.log" || continue
+    if WEIR_KEY=$key "$BIN/weirctl" job show "${JOBS[@]}" --queue bookings >/dev/null 2>"$OUT/rotation.err"; then
+      echo "key $n is accepted after it was removed" >>"$OUT/broken"
+    fi
+    echo "$n" >"$OUT/rotations"
+    sleep 0.2
+  done
+}
+rotate_keys &
+PIDS[rotation]=$!
 while sleep 3 && kill -0 $LOAD 2>/dev/null; do
   victim=$((RANDOM % 3 + 1))
   if [ $((RANDOM % 2)) -eq 0 ]; then
@@ -68,7 +91,12 @@
 done
 wait $LOAD || fail "$(cat "$OUT/load.log" "$OUT/result.json")"
 cat "$OUT/result.json"
+kill "${PIDS[rotation]}" 2>/dev/null || true
+wait "${PIDS[rotation]}" 2>/dev/null || true
+unset 'PIDS[rotation]'
+[ ! -f "$OUT/broken" ] || fail "$(cat "$OUT/broken")"
+[ -f "$OUT/rotations" ] || fail "no key was added and removed"
 "$BIN/weirctl" team list "${JOBS[@]}"
 if grep -l 'invariant violated' "$OUT"/jobs*.log; then fail "invariant violated"; fi
 if grep -l 'replace-me' "$OUT"/*.log; then fail "a key is in a log"; fi
-echo "soak of jobs: ok seed $SEED, $DURATION, $(cut -d' ' -f1 "$OUT/faults.log" | sort | uniq -c | awk '{printf "%s%s %s", sep, $1, $2; sep = ", "}')"
+echo "soak of jobs: ok seed $SEED, $DURATION, $(cat "$OUT/rotations") further keys, $(cut -d' ' -f1 "$OUT/faults.log" | sort | uniq -c | awk '{printf "%s%s %s", sep, $1, $2; sep = ", "}')"
