--- a/internal/job/handler/catalog.go
+++ b/internal/job/handler/catalog.go
@@ -16,14 +16,28 @@
 	return version
 }
 
+// requiresKeys reports whether the configuration in this replica needs keys.
+func (sv *Handler) requiresKeys() bool {
+	required := false
+	sv.Store.Read(func(rd store.Reader) { required = rd.Catalog().RequiresKeys })
+	return required
+}
+
+// versionNotNewer acknowledges a configuration that changes nothing.
+var versionNotNewer = jobapi.Reply{Outcome: jobapi.OK, Reason: "version is not newer"}
+
 // receiveCatalog checks and packs a configuration before it is routed to the
 // leader. A version that is not newer than a committed one changes nothing, so
-// the leader only has to confirm that it has applied it.
+// it is acknowledged without the leader, unless the leader might still accept a key
+// that it removes.
 func (sv *Handler) receiveCatalog(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	if err := call.Catalog.Check(); err != nil {
 		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
 	}
 	if call.Catalog.Version <= sv.committedVersion() {
+		if !sv.requiresKeys() {
+			return versionNotNewer
+		}
 		return sv.confirmCatalog(ctx, call.Catalog.Version)
 	}
 	packed, err := call.Catalog.Pack()
@@ -42,7 +56,7 @@
 	rep := sv.route(ctx, jobapi.Call{Kind: jobapi.GetCatalog, Number: sv.committedVersion()})
 	switch {
 	case rep.Outcome == jobapi.Unavailable, rep.Outcome == jobapi.OK && rep.Version >= version:
-		return jobapi.Reply{Outcome: jobapi.OK, Reason: "version is not newer", Leader: rep.Leader}
+		return versionNotNewer
 	case rep.Outcome == jobapi.OK:
 		return jobapi.Reply{Outcome: jobapi.Unavailable, Reason: "the leader has not applied the version", RetryAfter: retryUnavailable}
 	}
