feat: the store counts the unfinished work of each team

Early refusal needs a team's backlog for each submit, some hundred a second with some thousand active jobs, so that a scan of all jobs for each is too much.

Sums are integers, since sums of floats drift with each subtraction. Long-running jobs and jobs with occurrences are not counted: nobody knows how long they take, or whether they are due before a new job.

--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -49,6 +49,33 @@
 // result must not be modified, nor used after the read.
 func (rd Reader) TeamLoads(id weir.InstanceID) []TeamLoad { return rd.st.TeamLoads[id] }
 
+// TeamPending returns the number of jobs of a team of which no run is, or certainly
+// was, at work.
+func (rd Reader) TeamPending(name weir.TeamName) int {
+	if tj := rd.st.TeamJobs[name]; tj != nil {
+		return tj.Pending
+	}
+	return 0
+}
+
+// TeamWorkLeft returns the unfinished work of a team's jobs by the estimates, with all
+// of the work of running tasks.
+func (rd Reader) TeamWorkLeft(name weir.TeamName) spec.Work {
+	if tj := rd.st.TeamJobs[name]; tj != nil {
+		return tj.Left
+	}
+	return spec.Work{}
+}
+
+// EachTeamJob calls do for each job of a team with unfinished work.
+func (rd Reader) EachTeamJob(name weir.TeamName, do func(js *JobState)) {
+	if tj := rd.st.TeamJobs[name]; tj != nil {
+		for _, js := range tj.Jobs {
+			do(js)
+		}
+	}
+}
+
 // Job returns a job, or nil if it is unknown. The result must not be modified,
 // nor used after the read.
 func (rd Reader) Job(id spec.JobID) *JobState { return rd.st.Jobs[id] }
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -96,6 +96,9 @@
 	// Cancelled says that the caller has cancelled the job, also if it had failed
 	// before.
 	Cancelled bool `json:"cancelled,omitempty"`
+
+	// left is the unfinished work that TeamJobs counts for the job.
+	left spec.Work
 }
 
 // Live reports whether tasks of a step go on: those of a job that has not ended and,
@@ -234,6 +237,8 @@
 	// TeamLoads holds what the runs that may be on each worker reserve by team, in
 	// the order of the teams' names.
 	TeamLoads map[weir.InstanceID][]TeamLoad `json:"-"`
+	// TeamJobs holds the work of each team with active jobs.
+	TeamJobs map[weir.TeamName]*teamJobs `json:"-"`
 	// WorkerRevision counts the changes of workers that this replica applied.
 	WorkerRevision uint64 `json:"-"`
 }
@@ -316,11 +321,13 @@
 	st.Loads = map[weir.InstanceID]WorkerLoad{}
 	st.TeamUse = map[weir.TeamName]spec.Resources{}
 	st.TeamLoads = map[weir.InstanceID][]TeamLoad{}
+	st.TeamJobs = map[weir.TeamName]*teamJobs{}
 	st.rebuildQueues()
 	for id, js := range st.Jobs {
 		if js.Occurrences != nil {
 			st.Active[id] = true
 		}
+		st.setWorkLeft(js, js.estimatedWorkLeft())
 		st.addToQueue(js)
 		for oc, steps := range js.Occurrences {
 			for sp := range steps {
@@ -363,10 +370,18 @@
 		jobs = map[spec.JobID]bool{}
 		st.ByQueue[js.Spec.Queue] = jobs
 	}
-	jobs[js.Spec.ID] = true
+	if !jobs[js.Spec.ID] {
+		jobs[js.Spec.ID] = true
+		st.countPending(js.Spec.Team, 1)
+	}
 }
 
-func (st *state) removeFromQueue(js *JobState) { delete(st.ByQueue[js.Spec.Queue], js.Spec.ID) }
+func (st *state) removeFromQueue(js *JobState) {
+	if jobs := st.ByQueue[js.Spec.Queue]; jobs[js.Spec.ID] {
+		delete(jobs, js.Spec.ID)
+		st.countPending(js.Spec.Team, -1)
+	}
+}
 
 func (st *state) addRun(js *JobState, rf spec.TaskRef, tk *Task) {
 	runs := st.Runs[tk.Worker]
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -233,6 +233,7 @@
 	}
 	st.Jobs[jb.ID] = js
 	st.Active[jb.ID] = true
+	st.setWorkLeft(js, js.estimatedWorkLeft())
 	st.addToQueue(js)
 	return applied
 }
@@ -254,6 +255,7 @@
 func (st *state) endJob(at time.Time, js *JobState, ph Phase) {
 	js.Phase = ph
 	js.Ended = at
+	st.setWorkLeft(js, spec.Work{})
 	st.removeFromQueue(js)
 	st.dropDetails(js)
 }
@@ -371,6 +373,7 @@
 
 func (st *state) taskDone(at time.Time, js *JobState, rf spec.TaskRef, tk *Task, step spec.Step) {
 	ss := &js.Occurrences[rf.Occurrence][rf.Step]
+	before := ss.TasksLeft
 	if step.Gang {
 		// The end of one member completes the gang. The runs of the other members
 		// stay listed until their own ends are recorded.
@@ -383,6 +386,9 @@
 		tk.Checkpoint = ""
 		ss.TasksLeft--
 	}
+	if js.countsForTeam() {
+		st.setWorkLeft(js, js.left.Minus(js.Spec.TaskWork(rf.Step).Tasks(before-ss.TasksLeft)))
+	}
 	for _, other := range js.Occurrences[rf.Occurrence] {
 		if other.TasksLeft > 0 {
 			return
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -286,7 +286,10 @@
 		for job := range 3 {
 			fx.mustApply(Change{Submit: &spec.Job{
 				ID: spec.JobID(fmt.Sprint("j", job)), Queue: "h/q/", Text: "text", Team: []weir.TeamName{"b", "a", ""}[job],
-				Steps: []spec.Step{{Count: 2, Resources: spec.Resources{MilliCPU: 500}}, {Count: 1, After: []int{0}}},
+				Steps: []spec.Step{
+					{Count: 2, Resources: spec.Resources{MilliCPU: 500}, Estimate: time.Second},
+					{Count: 1, After: []int{0}, Resources: spec.Resources{MemoryMB: 3, GPU: 1}, Estimate: time.Minute, BestEffort: true},
+				},
 			}})
 		}
 		reasons := []EndReason{EndDone, EndFailed, EndLost, EndStopped, EndRefused}
@@ -308,6 +311,7 @@
 				fx.apply(Change{Join: testWorker(worker, 1)})
 			}
 			checkState(rt, fx.sr.st)
+			checkTeamJobs(rt, fx.sr.st)
 		}
 		data, err := fx.sr.Snapshot()
 		require.NoError(rt, err)
@@ -319,6 +323,7 @@
 		require.Equal(rt, fx.sr.st.Active, other.st.Active)
 		require.Equal(rt, fx.sr.st.Workers, other.st.Workers)
 		require.Equal(rt, fx.sr.st.TeamLoads, other.st.TeamLoads)
+		checkTeamJobs(rt, other.st)
 	})
 }
 
