feat: refuse submits beyond what a team can be served in time

The leader asks admission before it commits a job of a team, and answers 429 with Retry-After and one log line with team, resource, backlog, rate, wait and bound. A job that is known is not refused. The sum kept by the store decides for most submits; for the others the team's jobs are tallied, for at most a twentieth of a processor. Beyond that submits are accepted, which is never wrong. A value refreshed a few times a second was weighed: what goes before a job depends on its size, pool, priority and objective, so that one value does not serve all.

--- a/cmd/greengageweir/log_replica.go
+++ b/cmd/greengageweir/log_replica.go
@@ -11,6 +11,7 @@
 	"greengageweir/internal/job/handler"
 	"greengageweir/internal/job/scheduler"
 	"greengageweir/internal/job/store"
+	"greengageweir/internal/job/teammetrics"
 	"greengageweir/internal/link/peer"
 	"greengageweir/internal/member/links"
 	"greengageweir/internal/member/roster"
@@ -93,10 +94,10 @@
 	}
 	str.OnApplied = sch.Wake
 	lr.handler = &handler.Handler{
-		Self: self.ID, Store: str, Committer: com, Scheduler: sch, Leader: lr.node, Links: lks, Clock: bootClock, Wall: wallClock, Logger: lg,
+		Self: self.ID, Store: str, Committer: com, Scheduler: sch, Leader: lr.node, Links: lks, Clock: bootClock, Wall: wallClock, Logger: lg, Backlogs: &handler.Backlogs{},
 	}
 	lr.components = []weir.Component{
-		lks, lr.node, com, sch, lr.roster,
+		lks, lr.node, com, sch, lr.roster, &teammetrics.Recorder{Store: str, Leads: sch.Ready},
 		&peer.Server{Addr: self.ID, Token: lr.Token, Handle: lr.handlePeerCall, Logger: lg},
 	}
 }
--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -56,6 +56,9 @@
 	Clock     weir.Clock
 	Wall      weir.Clock
 	Logger    log.Logger
+	// Backlogs keeps what decisions about early refusals need; nil refuses no submit
+	// for the backlog of its team.
+	Backlogs *Backlogs
 }
 
 // Handle implements jobapi.Handler.
@@ -254,6 +257,9 @@
 	if err := jb.Check(); err != nil {
 		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
 	}
+	if refused := sv.refuseForBacklog(&jb); refused != nil {
+		return *refused
+	}
 	if _, failed := sv.commit(ctx, store.Change{Submit: &jb}); failed != nil {
 		return *failed
 	}
--- a/internal/job/handler/handler_test.go
+++ b/internal/job/handler/handler_test.go
@@ -112,7 +112,7 @@
 	}
 	str.OnApplied = own.Wake
 	svc := &handler.Handler{
-		Self: self, Store: str, Committer: com, Scheduler: own, Leader: nod, Links: lks, Clock: steady, Wall: wall, Logger: lg,
+		Self: self, Store: str, Committer: com, Scheduler: own, Leader: nod, Links: lks, Clock: steady, Wall: wall, Logger: lg, Backlogs: &handler.Backlogs{},
 	}
 	sy.handler = svc
 	ctx, cancel := context.WithCancel(context.Background())
