--- a/internal/standin/play/play.go
+++ b/internal/standin/play/play.go
@@ -188,6 +188,7 @@
 	sr.store.OnApplied = own.Wake
 	sr.handler = &handler.Handler{
 		Store: sr.store, Committer: com, Scheduler: own, Leader: soleLeader{}, Clock: sr.clock, Wall: sr.clock, Logger: sr.Logger,
+		Backlogs: &handler.Backlogs{},
 	}
 	return []weir.Component{com, own}
 }
