feat: the log refuses starts above the cap of a team

Caps were in the configuration and the use of each team was counted, but nothing compared the two. A start is now refused if it brings what the team's runs that may be on workers request above the cap in a limited resource. A team that is in no configuration has no cap.

The starts of a gang are separate changes of one entry. If single members were refused, the others would be placed, never ordered and hold the cap until the leader has stopped each by its number. So the start of a member counts all members that are not placed yet: the first one admits or refuses the gang. The alternative, one change for a whole gang, would change the format of the log.

The use of a team that becomes negative violates an invariant.

--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"greengageweir/internal/common/invariant"
 	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/job/spec"
 
@@ -403,7 +404,9 @@
 	step := js.Spec.Steps[rf.Step]
 	st.Loads[tk.Worker] = st.Loads[tk.Worker].add(step, -1)
 	if tm := js.Spec.Team; tm != "" {
-		st.TeamUse[tm] = st.TeamUse[tm].Minus(step.Resources)
+		use := st.TeamUse[tm].Minus(step.Resources)
+		invariant.Check(use.MilliCPU >= 0 && use.MemoryMB >= 0 && use.GPU >= 0, "teamUseNotNegative", "team", tm, "use", use)
+		st.TeamUse[tm] = use
 		st.addTeamLoad(tk.Worker, tm, step, -1)
 		if st.TeamUse[tm] == (spec.Resources{}) {
 			delete(st.TeamUse, tm)
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -303,6 +303,8 @@
 		return refused("worker is draining")
 	case !js.StepReady(sa.Task.Occurrence, sa.Task.Step):
 		return refused("an earlier step is not done")
+	case !st.withinCap(js, sa.Task):
+		return refused("the team's cap is reached")
 	}
 	tk.Run, tk.Worker, tk.Incarnation, tk.StartedAt = sa.Run, sa.Worker, sa.Incarnation, at
 	js.Placed++
@@ -315,6 +317,28 @@
 	return applied
 }
 
+// withinCap reports whether the start of a task keeps its team's use within the cap.
+// A gang counts with all its members that are not placed: the starts of its members
+// are separate changes of one entry, so that the first of them admits or refuses the
+// whole gang, and no gang is placed in part because of a cap. A team that is in no
+// configuration has no cap.
+func (st *state) withinCap(js *JobState, rf spec.TaskRef) bool {
+	tm, ok := st.Teams[js.Spec.Team]
+	if !ok || !tm.Capped() {
+		return true
+	}
+	step, count := js.Spec.Steps[rf.Step], 1
+	if step.Gang {
+		count = 0
+		for ix := range js.Occurrences[rf.Occurrence][rf.Step].Tasks {
+			if !js.Occurrences[rf.Occurrence][rf.Step].Tasks[ix].Placed() {
+				count++
+			}
+		}
+	}
+	return tm.StartsAllowed(st.TeamUse[tm.Name], step.Resources) >= count
+}
+
 func (st *state) applyEnd(at time.Time, en *RunEnd) Result {
 	js := st.Jobs[en.Task.Job]
 	if js == nil || js.Occurrences == nil {
