--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"greengageweir/internal/common/errkind"
+	"greengageweir/internal/config/catalog"
 	"greengageweir/internal/contract/jobapi"
 	"greengageweir/internal/job/scheduler"
 	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
+	"greengageweir/internal/job/teammetrics"
 	"greengageweir/internal/link/peer"
 	"greengageweir/internal/member/links"
 	"greengageweir/internal/state/node"
@@ -225,6 +227,7 @@
 
 func (sv *Handler) submit(ctx context.Context, call jobapi.Call) jobapi.Reply {
 	var rep *jobapi.Reply
+	var team catalog.Team
 	jb := *call.Job
 	sv.Store.Read(func(rd store.Reader) {
 		ct := rd.Catalog()
@@ -237,6 +240,7 @@
 		default:
 			jb.ID, jb.Queue = id, qu.Key()
 			jb.Team, rep = authorize(rd, qu, call.Key)
+			team, _ = rd.Team(jb.Team)
 		}
 		if rep != nil {
 			return
@@ -257,6 +261,10 @@
 	if err := jb.Check(); err != nil {
 		return jobapi.Reply{Outcome: jobapi.Invalid, Reason: err.Error()}
 	}
+	if reason := widerThanCap(team, jb); reason != "" {
+		teammetrics.CountRefusal(jb.Team, teammetrics.ReasonCap)
+		return jobapi.Reply{Outcome: jobapi.Refused, Reason: reason}
+	}
 	if refused := sv.refuseForBacklog(&jb); refused != nil {
 		return *refused
 	}
