feat: tasks beyond the cap of their team call no machines

The balance of pools counted every ready task as waiting, also those that the cap of their team holds back, and the arrival rate of a team without bound. For a team with a cap, what counts as waiting, stuck, long-running and arriving is now limited to what the team may still start, over all pools together: first ready tasks in time, then expected arrivals, then late tasks and long-running ones that other steps hold back, each in the order of acceptance. Jobs of teams without a cap are counted as before, in one pass and without a sort.

The arrival rate of a pool includes the tasks that are there, so it counts against the cap only beyond what the team holds in that pool.

--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -139,6 +139,12 @@
 		loads[wk.Pool] = ld
 	})
 	rooms := sc.freeRooms(ls, rd, now)
+	add := func(sl stepLoad) {
+		ld, late := loads[sl.pool], lateTasks[sl.pool]
+		sl.addTo(&ld, &late)
+		loads[sl.pool], lateTasks[sl.pool] = ld, late
+	}
+	capped := map[weir.TeamName]*cappedTeam{}
 	rd.EachActiveJob(func(js *store.JobState) {
 		qu, ok := rd.Queue(js.Spec.Queue)
 		if !ok || js.Phase.Terminal() {
@@ -147,10 +153,19 @@
 		ld := loads[qu.Pool]
 		ld.MachineCapacity = ld.MachineCapacity.Max(largest)
 		ld.Usable = len(rooms[qu.Pool])
-		late := lateTasks[qu.Pool]
-		addLoad(&ld, &late, js, qu, rooms[qu.Pool], wall)
-		loads[qu.Pool], lateTasks[qu.Pool] = ld, late
+		loads[qu.Pool] = ld
+		if tm, ok := rd.Team(js.Spec.Team); ok && tm.Capped() {
+			if capped[tm.Name] == nil {
+				capped[tm.Name] = &cappedTeam{team: tm, use: rd.TeamUse(tm.Name)}
+			}
+			capped[tm.Name].jobs = append(capped[tm.Name].jobs, pendingJob{job: js, queue: qu})
+			return
+		}
+		eachStepLoad(js, qu, ld.MachineCapacity, rooms[qu.Pool], wall, add)
 	})
+	for _, ct := range capped {
+		ct.addLoads(loads, rooms, wall, add)
+	}
 	for name, ld := range loads {
 		ld.Waiting, ld.Stuck = ld.Waiting.Plus(lateTasks[name].waiting), ld.Stuck.Plus(lateTasks[name].stuck)
 		withLate[name] = ld
@@ -171,41 +186,71 @@
 	return rooms
 }
 
-func addLoad(ld *balance.Load, late *lateLoad, js *store.JobState, qu catalog.Queue, rooms []spec.Resources, wall time.Time) {
+// stepLoad is what one step of an occurrence puts on its pool.
+type stepLoad struct {
+	pool weir.PoolName
+	step *spec.Step
+	// placed counts the tasks that may be on workers, starting those to be started,
+	// and stuck those of the latter that have waited for room for long.
+	placed, starting, stuck int
+	// ready says that earlier steps hold no task back, late that those to be started
+	// can no longer meet their objective.
+	ready, late bool
+	// arriving is how many tasks at a time the step adds to the arrival rate.
+	arriving float64
+}
+
+// eachStepLoad calls do for each step of a job that is due and whose tasks fit on a
+// machine.
+func eachStepLoad(js *store.JobState, qu catalog.Queue, machine spec.Resources, rooms []spec.Resources, wall time.Time, do func(sl stepLoad)) {
 	recent := wall.Sub(js.Accepted) < balance.ArrivalWindow
 	for oc, steps := range js.Occurrences {
 		if js.Spec.DueAt(oc).After(wall) {
 			break
 		}
 		for sp := range steps {
-			step := js.Spec.Steps[sp]
+			step := &js.Spec.Steps[sp]
 			need := step.Reserved()
-			if !need.Fits(ld.MachineCapacity) {
+			if !need.Fits(machine) {
 				continue // larger than any machine
 			}
-			placed, ready := countTasks(steps[sp], js.StepReady(oc, sp))
-			waiting, stuck := &ld.Waiting, &ld.Stuck
-			if ready > 0 && !step.LongRunning && latestStart(js.Spec, js.Accepted, qu, oc, sp).Before(wall) {
-				waiting, stuck = &late.waiting, &late.stuck
+			sl := stepLoad{pool: qu.Pool, step: step, ready: js.StepReady(oc, sp)}
+			sl.placed, sl.starting = countTasks(steps[sp], sl.ready)
+			sl.late = sl.starting > 0 && !step.LongRunning && latestStart(js.Spec, js.Accepted, qu, oc, sp).Before(wall)
+			if sl.starting > 0 && !slices.ContainsFunc(rooms, need.Fits) {
+				sl.stuck = stuckTasks(steps[sp], js.ReadySince(oc, sp), wall)
 			}
-			if ready > 0 && !slices.ContainsFunc(rooms, need.Fits) {
-				*stuck = stuck.Plus(need.Times(float64(stuckTasks(steps[sp], js.ReadySince(oc, sp), wall))))
-			}
-			if step.LongRunning {
-				ld.LongRunning = ld.LongRunning.Plus(need.Times(float64(step.Count)))
-				ld.MinMachines = max(ld.MinMachines, step.MinWorkers())
-				continue
-			}
-			if recent {
+			switch {
+			case step.LongRunning:
+				// Machines are there when the steps before are done.
+				sl.starting = step.Count - sl.placed
+			case recent:
 				share := min(step.Estimate, maxEstimate).Seconds() / balance.ArrivalWindow.Seconds()
-				ld.ArrivalRate = ld.ArrivalRate.Plus(need.Times(float64(step.Count) * share))
+				sl.arriving = float64(step.Count) * share
 			}
-			ld.Busy = ld.Busy.Plus(need.Times(float64(placed)))
-			*waiting = waiting.Plus(need.Times(float64(ready)))
+			do(sl)
 		}
 	}
 }
 
+func (sl stepLoad) addTo(ld *balance.Load, late *lateLoad) {
+	need := sl.step.Reserved()
+	waiting, stuck := &ld.Waiting, &ld.Stuck
+	if sl.late {
+		waiting, stuck = &late.waiting, &late.stuck
+	}
+	*stuck = stuck.Plus(need.Times(float64(sl.stuck)))
+	if sl.step.LongRunning {
+		count := sl.placed + sl.starting
+		ld.LongRunning = ld.LongRunning.Plus(need.Times(float64(count)))
+		ld.MinMachines = max(ld.MinMachines, sl.step.WithCount(count).MinWorkers())
+		return
+	}
+	ld.ArrivalRate = ld.ArrivalRate.Plus(need.Times(sl.arriving))
+	ld.Busy = ld.Busy.Plus(need.Times(float64(sl.placed)))
+	*waiting = waiting.Plus(need.Times(float64(sl.starting)))
+}
+
 // countTasks counts the tasks of a step that are placed and those that may start.
 func countTasks(ss store.StepState, ready bool) (placed, waiting int) {
 	for ix := range ss.Tasks {
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -141,6 +141,12 @@
 	return st.Resources
 }
 
+// WithCount returns the step with another number of tasks.
+func (st Step) WithCount(count int) Step {
+	st.Count = count
+	return st
+}
+
 // MinWorkers returns the number of workers that the step's tasks should be spread
 // over, so that no worker holds more tasks than MaxPerWorker or MaxUnavailable;
 // 0 means that any number will do.
