test: caps of teams in the explorations of the scheduler

The jobs of the explorations are of two teams with caps that bind; caps are lowered and raised between other events. Each applied entry is checked on each member: the use is what the runs request, and no start exceeds the cap in force when it was applied. Each start at a worker is checked too: the runs there are counted in the latest state.

Since placement keeps to the caps itself, the log's rule decides only where the cap was lowered after the leader's decision.

Starts that were decided before a cap was lowered are refused.

--- a/internal/job/scheduler/explore_test.go
+++ b/internal/job/scheduler/explore_test.go
@@ -22,7 +22,8 @@
 // model workers and a model platform. They try all short sequences of events from
 // a set of states, and long random sequences: frozen, cut off and restarted
 // members, orders that are lost, late or not answered, commits of unknown outcome,
-// workers that start again under the same id, a wave, a cancellation.
+// workers that start again under the same id, a wave, a cancellation, caps that are
+// lowered and raised.
 const (
 	// exploreDepth is the length of the sequences that are tried exhaustively.
 	// WEIR_EXPLORE_DEPTH overrides it.
@@ -73,6 +74,9 @@
 		id := spec.JobID("c")
 		add(2, func() { sim.submit(store.Change{Cancel: &id}) }, "job c is cancelled")
 	}
+	for _, limit := range []int{1, 3} {
+		add(3, func() { sim.submit(sim.nextCatalog(limit)) }, "cap of %d tasks", limit)
+	}
 	// Runs and sessions come from maps.
 	slices.SortStableFunc(out, func(one, other event) int { return cmp.Compare(one.name, other.name) })
 	return out
--- a/internal/job/scheduler/simulation_test.go
+++ b/internal/job/scheduler/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand"
 	"slices"
@@ -75,7 +76,9 @@
 	// crashes counts the workers that crashed while they ran a task.
 	crashes   map[weir.TaskRef]int
 	cancelled bool // the cancellation of job c is committed
-	trace     []string
+	// version is the version of the latest configuration that was sent.
+	version int64
+	trace   []string
 }
 
 // delayedOrder is an order that is carried out later; after until it is lost.
@@ -142,18 +145,12 @@
 		sim.machines["m"+string(id)] = &simMachine{worker: wk, waves: map[int64]bool{}}
 	}
 	sim.advance(3 * simElection)
-	ct := catalog.Catalog{
-		Version: 1, Pools: []catalog.Pool{{Name: "desk"}},
-		Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, MaxAttempts: simAttempts, Stretch: 2}},
-	}
-	packed, err := ct.Pack()
-	require.NoError(t, err)
 	size := spec.Resources{MilliCPU: 1000}
 	sim.mustCommit(
-		store.Change{Catalog: packed},
-		store.Change{Submit: &spec.Job{ID: "a", Queue: "h/q/", Steps: []spec.Step{{Count: 2, Resources: size}, {Count: 1, Resources: size, After: []int{0}}}}},
-		store.Change{Submit: &spec.Job{ID: "b", Queue: "h/q/", Steps: []spec.Step{{Count: 2, Resources: size, LongRunning: true, MaxUnavailable: 1}}}},
-		store.Change{Submit: &spec.Job{ID: "c", Queue: "h/q/", Steps: []spec.Step{{Count: 1, Resources: size}}}},
+		sim.nextCatalog(2),
+		store.Change{Submit: &spec.Job{ID: "a", Queue: "h/q/", Team: "t", Steps: []spec.Step{{Count: 2, Resources: size}, {Count: 1, Resources: size, After: []int{0}}}}},
+		store.Change{Submit: &spec.Job{ID: "b", Queue: "h/q/", Team: "u", Steps: []spec.Step{{Count: 2, Resources: size, LongRunning: true, MaxUnavailable: 1}}}},
+		store.Change{Submit: &spec.Job{ID: "c", Queue: "h/q/", Team: "t", Steps: []spec.Step{{Count: 1, Resources: size}}}},
 		store.Change{Wave: &store.Wave{Number: 1, Machines: []string{"mw1", "mw2"}, MaxParallel: 1, Deadline: sim.clk.Now().Add(20 * time.Second)}},
 	)
 	for _, wk := range sim.workers {
@@ -162,6 +159,21 @@
 	return sim
 }
 
+// nextCatalog returns the next version of the configuration. Jobs a and c are of team t,
+// whose cap is as many of their tasks at a time; job b is of team u, whose cap is all
+// tasks of the job.
+func (sim *simulation) nextCatalog(limit int) store.Change {
+	sim.version++
+	ct := catalog.Catalog{
+		Version: sim.version, Pools: []catalog.Pool{{Name: "desk"}},
+		Queues: []catalog.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "desk", Timeout: time.Second, MaxAttempts: simAttempts, Stretch: 2}},
+		Teams:  []catalog.Team{{Name: "t", Cap: spec.Resources{MilliCPU: limit * 1000}}, {Name: "u", Cap: spec.Resources{MilliCPU: 2000}}},
+	}
+	packed, err := ct.Pack()
+	require.NoError(sim.t, err)
+	return store.Change{Catalog: packed}
+}
+
 // announcement is what a worker says of itself.
 func (sim *simulation) announcement(wk *workermodel.Worker) *store.Worker {
 	return &store.Worker{
@@ -247,8 +259,10 @@
 			mb.st.Skip(ent.Index)
 			continue
 		}
+		before := mb.teamUses()
 		results, ok := mb.st.Apply(ent.Index, ent.Data).([]store.Result)
 		require.True(mb.sim.t, ok)
+		mb.sim.checkCaps(mb, before, ent.Data, results)
 		mb.results[ent.Index] = results
 		mb.sim.checkState(mb)
 	}
@@ -521,6 +535,83 @@
 	return weir.MachineAccepted
 }
 
+// useAndCap is the use and the cap of a team.
+type useAndCap struct{ use, limit int }
+
+// teamUses returns what a member's state says of the teams.
+func (mb *simMember) teamUses() map[weir.TeamName]useAndCap {
+	uses := map[weir.TeamName]useAndCap{}
+	mb.st.Read(func(rd store.Reader) {
+		for _, tm := range rd.Catalog().Teams {
+			uses[tm.Name] = useAndCap{rd.TeamUse(tm.Name).MilliCPU, tm.Cap.MilliCPU}
+		}
+	})
+	return uses
+}
+
+// simTeams are the teams of the jobs.
+var simTeams = map[weir.JobID]weir.TeamName{"a": "t", "b": "u", "c": "t"}
+
+// checkCaps checks that the starts of an entry leave their teams within the cap that
+// was in force when they were applied, and that the use is what the runs request.
+func (sim *simulation) checkCaps(mb *simMember, before map[weir.TeamName]useAndCap, data []byte, results []store.Result) {
+	var en store.Entry
+	require.NoError(sim.t, json.Unmarshal(data, &en))
+	limits, atStart := map[weir.TeamName]int{}, map[weir.TeamName]int{}
+	for team, was := range before {
+		limits[team] = was.limit
+	}
+	for ix, ch := range en.Changes {
+		switch {
+		case !results[ix].Applied:
+		case ch.Catalog != nil:
+			ct, err := ch.Catalog.Unpack()
+			require.NoError(sim.t, err)
+			for _, tm := range ct.Teams {
+				limits[tm.Name] = tm.Cap.MilliCPU
+			}
+		case ch.Start != nil:
+			team := simTeams[ch.Start.Task.Job]
+			atStart[team] = limits[team]
+		}
+	}
+	counted := map[weir.TeamName]int{}
+	mb.st.Read(func(rd store.Reader) {
+		for id, team := range simTeams {
+			if js := rd.Job(id); js != nil {
+				counted[team] += 1000 * js.Placed
+			}
+		}
+	})
+	for team, now := range mb.teamUses() {
+		require.Equal(sim.t, counted[team], now.use, "use of team %s at %s: %v", team, mb.id, sim)
+		if limit, ok := atStart[team]; ok {
+			require.LessOrEqual(sim.t, now.use, limit, "CAP: team %s at %s: %v", team, mb.id, sim)
+		}
+	}
+}
+
+// checkRunsCounted checks that the use of each team counts all its runs on workers,
+// including one that starts.
+func (sim *simulation) checkRunsCounted(starting weir.RunKey) {
+	running := map[weir.TeamName]int{simTeams[starting.Task.Job]: 1000}
+	for _, wk := range sim.workers {
+		for key := range wk.Runs {
+			running[simTeams[key.Task.Job]] += 1000
+		}
+	}
+	latest := sim.members[0]
+	for _, mb := range sim.members {
+		if mb.commitIndex > latest.commitIndex {
+			latest = mb
+		}
+	}
+	uses := latest.teamUses()
+	for team, total := range running {
+		require.LessOrEqual(sim.t, total, uses[team].use, "CAP: team %s has runs that do not count: %v", team, sim)
+	}
+}
+
 // checkStart checks the rules on the start of a run.
 func (sim *simulation) checkStart(at *workermodel.Worker, key weir.RunKey) {
 	for _, other := range sim.workers {
@@ -529,6 +620,7 @@
 			require.NotEqual(sim.t, key.Task, run.Task, "TWICE: run %d starts at %s while run %d is active at %s: %v", key.Run, at.ID, run.Run, other.ID, sim)
 		}
 	}
+	sim.checkRunsCounted(key)
 	require.False(sim.t, sim.doneAcked[key.Task], "TWICE: %v starts after its end was acknowledged: %v", key, sim)
 	require.Less(sim.t, sim.failures[key.Task], simAttempts, "BUDGET: %v: %v", key, sim)
 	if key.Task.Job == "a" && key.Task.Step == 1 {
