--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -143,6 +143,21 @@
 mutant empty-teams-refuse-all platform/control.go 's/if wc.Tenants == nil {/if len(wc.Tenants) == 0 {/' ./platform
 mutant document-is-not-quoted internal/common/strictjson/redact.go 's/case errors.As(err, &wrongType):/case errors.As(err, \&wrongType):\n\t\treturn wrongType/' ./platform
 mutant refused-retry-is-no-proof internal/entry/relay/relay.go 's/mayHaveRun \&\& deniesEffect(call.Kind, rep.Outcome)/false/' ./internal/entry/relay
+mutant starts-stay-within-cap $J/store/store.go 's/case !st.withinCap(js, sa.Task):/case false:/' ./$J/store
+mutant caps-hold-with-every-change $J/store/store.go 's/case !st.withinCap(js, sa.Task):/case false:/' -run TestRandomEventSequences ./$J/scheduler
+mutant gang-is-admitted-as-a-whole $J/store/store.go 's/st.TeamUse\[tm.Name\], step.Resources) >= count/st.TeamUse[tm.Name], step.Resources) >= min(count, 1)/' ./$J/store
+mutant placed-gang-members-count-once $J/store/store.go 's/if !js.Occurrences\[rf.Occurrence\]\[rf.Step\].Tasks\[ix\].Placed() {/if ix >= 0 {/' ./$J/store
+mutant use-above-cap-starts-nothing internal/config/catalog/cap.go 's/case room < 0:/case false:/' ./internal/config/catalog
+mutant use-is-released $J/store/state.go 's/st.TeamUse\[tm\].Minus(step.Resources)/st.TeamUse[tm]/' ./$J/store
+mutant use-is-rebuilt $J/store/store.go 's/^\tst.rebuildIndexes()$/\tst.rebuildIndexes()\n\tst.TeamUse = map[weir.TeamName]spec.Resources{}/' ./$J/store
+mutant use-counts-full-request $J/store/state.go 's/\(st.TeamUse\[tm\].[A-Z][a-z]*\)(step.Resources)/\1(step.Reserved())/' ./$J/store
+mutant use-counts-until-the-end $J/store/store.go 's/^\tjs.Ended = at$/\tjs.Ended = at\n\tdelete(st.TeamUse, js.Spec.Team)/' ./$J/store
+mutant wide-jobs-are-refused $J/handler/handler.go 's/if reason := widerThanCap(team, jb); reason != "" {/if reason := widerThanCap(team, jb); false {/' ./$J/handler
+mutant wide-gangs-are-refused $J/handler/cap.go 's/together = step.Count$/together = 1/' ./$J/handler
+mutant capped-tasks-call-no-machines $J/scheduler/capped_load.go 's/allowed := min(sl.starting, .*$/allowed := sl.starting/' ./$J/scheduler
+mutant cap-holds-over-all-pools $J/scheduler/capped_load.go 's/^\tct.use = ct.use.Plus(sl.step.Resources.Times(float64(allowed)))$//' ./$J/scheduler
+mutant capped-arrivals-call-no-machines $J/scheduler/capped_load.go 's/extra := min(sl.arriving-there, .*$/extra := sl.arriving - there/' ./$J/scheduler
+mutant capped-load-is-in-order $J/scheduler/capped_load.go 's/return cmp.Or(one.job.Accepted.Compare(other.job.Accepted), .*$/return cmp.Compare(0, 0)/' ./$J/scheduler
 if [ $MISSED -ne 0 ]; then
   echo "mutants: some rules are not missed"
   exit 1
