--- a/internal/link/peer/client.go
+++ b/internal/link/peer/client.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return false
 	}
-	stream := jsonrpc2.NewBufferedStream(newDeadlineConn(raw), frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(newDeadlineConn(raw), &frameCodec{maxRead: maxFrameBytes})
 	conn := jsonrpc2.NewConn(ctx, stream, &clientHandler{cl: cl}, jsonrpc2.SetLogger(discardLogger{}))
 	defer func() { _ = conn.Close() }()
 	if err := callWithTimeout(ctx, conn, methodHello, hello{Version: ProtocolVersion, Token: cl.Token, Self: cl.Self}); err != nil {
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -1,9 +1,13 @@
 package peer
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -91,6 +95,48 @@
 	require.NoError(t, err, "the server closes the connection")
 }
 
+// TestFrameBeforeHandshake guards against a client without the token that makes the
+// server hold a frame as large as those between processes.
+func TestFrameBeforeHandshake(t *testing.T) {
+	sv := startServer(t, echo)
+	conn, err := net.Dial("tcp", sv.Address())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, (&frameCodec{}).WriteObject(conn, map[string]any{
+		"jsonrpc": "2.0", "id": 1, "method": methodHello,
+		"params": hello{Version: ProtocolVersion, Token: testToken, Self: Identity{ID: strings.Repeat("a", maxHelloBytes)}},
+	}))
+	reply, err := io.ReadAll(io.LimitReader(conn, 1))
+	require.True(t, err != nil || len(reply) == 0, "the handshake is not answered: %q, %v", reply, err)
+}
+
+// TestAnnouncedFrameReservesNothing guards against memory that is reserved for a frame
+// of which only the length has arrived, and against frames of several steps that are
+// read wrong.
+func TestAnnouncedFrameReservesNothing(t *testing.T) {
+	rd, wr := io.Pipe()
+	go func() {
+		_, _ = wr.Write([]byte{0x02, 0, 0, 0, '{'})
+		_ = wr.Close()
+	}()
+	codec := &frameCodec{maxRead: maxFrameBytes}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var got any
+	require.Error(t, codec.ReadObject(bufio.NewReader(rd), &got))
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
+
+	for _, size := range []int{0, 1, frameStep - 2, frameStep - 1, 5 * frameStep} {
+		var buf bytes.Buffer
+		text := strings.Repeat("a", size)
+		require.NoError(t, codec.WriteObject(&buf, text))
+		var read string
+		require.NoError(t, codec.ReadObject(bufio.NewReader(&buf), &read))
+		require.Equal(t, text, read)
+	}
+}
+
 // TestSilentLinkIsReplaced puts a proxy between client and server that stops
 // forwarding without closing a connection. The client must notice the missing
 // heartbeats and dial again.
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -91,8 +91,9 @@
 }
 
 func (sv *Server) serve(ctx context.Context, conn net.Conn) {
-	lk := &serverLink{sv: sv, calls: make(chan struct{}, maxCallsPerLink), handshakeDone: make(chan struct{})}
-	stream := jsonrpc2.NewBufferedStream(newDeadlineConn(conn), frameCodec{})
+	codec := &frameCodec{maxRead: maxHelloBytes}
+	lk := &serverLink{sv: sv, codec: codec, calls: make(chan struct{}, maxCallsPerLink), handshakeDone: make(chan struct{})}
+	stream := jsonrpc2.NewBufferedStream(newDeadlineConn(conn), codec)
 	rpc := jsonrpc2.NewConn(ctx, stream, lk, jsonrpc2.SetLogger(discardLogger{}))
 	timer := time.NewTimer(handshakeTimeout)
 	defer timer.Stop()
@@ -116,6 +117,7 @@
 // serverLink is one accepted link.
 type serverLink struct {
 	sv            *Server
+	codec         *frameCodec
 	calls         chan struct{}
 	handshakeDone chan struct{}
 	from          Identity
@@ -167,6 +169,8 @@
 	}
 	lk.from = hi.Self
 	lk.authenticated = true
+	// Requests are handled on the goroutine that reads.
+	lk.codec.maxRead = maxFrameBytes
 	close(lk.handshakeDone)
 	_ = conn.Reply(ctx, req.ID, struct{}{})
 }
