feat: every HTTP listener of the product keeps the limits for clients

800 clients brought a process with 96 MB in its settings to 469 MB with stalled bodies, to 4.9 GB with oversized configurations and to 8.3 GB with many fields. Callers, readiness, control, metrics, jobs, operators' and endpoints' listeners share one admit.Process now, derived from limits.memory_mb and limits.max_fds of the platform's settings file or from flags. Readiness and metrics have connections of their own.

Handlers get the body without a copy.

--- a/cmd/greengageweir/common.go
+++ b/cmd/greengageweir/common.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/invariant"
 	"greengageweir/internal/common/logging"
@@ -25,6 +26,7 @@
 	PeerTokenFile  string `long:"peer-token-file" env:"WEIR_PEER_TOKEN_FILE" description:"File with the token that processes share"`
 	OperatorTokens string `long:"operator-tokens" env:"WEIR_OPERATOR_TOKENS" description:"File with one operator and token a line"`
 	LogLevel       string `long:"log-level" env:"WEIR_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	limitFlags
 }
 
 func (cf *commonFlags) check(ck *settings.Checks) {
@@ -34,6 +36,7 @@
 	ck.Address("--ops-addr", cf.OpsAddr)
 	ck.File("--peer-token-file", cf.PeerTokenFile)
 	ck.File("--operator-tokens", cf.OperatorTokens)
+	cf.limitFlags.check(ck)
 }
 
 // dependencies holds the logger and the credentials that a daemon is built with.
@@ -42,6 +45,7 @@
 	level     *logging.Level
 	token     string
 	operators *auth.Operators
+	limits    *admit.Process
 }
 
 // setup creates the logger and loads the credentials.
@@ -56,7 +60,7 @@
 		return dependencies{}, err
 	}
 	opers, err := auth.Load(cf.OperatorTokens)
-	return dependencies{logger: lg, level: lvl, token: token, operators: opers}, err
+	return dependencies{logger: lg, level: lvl, token: token, operators: opers, limits: cf.process(lg)}, err
 }
 
 // signalContext returns a context that the first SIGINT or SIGTERM cancels. The
--- a/cmd/greengageweir/control.go
+++ b/cmd/greengageweir/control.go
@@ -110,14 +110,14 @@
 	return []weir.Component{
 		lks,
 		nd,
-		&peer.Server{Addr: cc.PeerAddr, Token: deps.token, Handle: sv.Handle, OnDisconnect: hb.Unsubscribe, Logger: deps.logger},
+		&peer.Server{Addr: cc.PeerAddr, Token: deps.token, Handle: sv.Handle, OnDisconnect: hb.Unsubscribe, Logger: deps.logger, MaxLinks: deps.limits.MaxLinks()},
 		&reconcile.Reconciler{
 			Machine: mc, Registry: rg, Platform: &platform.Client{Addrs: cc.platforms}, Clock: clk,
 			Logger: deps.logger, IsLeader: sv.IsLeader, Propose: sv.Propose,
 		},
 		&ops.Server{
 			Addr: cc.OpsAddr, Operators: deps.operators, Level: deps.level, Version: cli.Version,
-			Dump: dump, Ready: ready, Routes: api.Routes,
+			Dump: dump, Ready: ready, Routes: api.Routes, Limits: operatorLimits(deps.limits),
 		},
 	}
 }
--- a/cmd/greengageweir/entry.go
+++ b/cmd/greengageweir/entry.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/cli"
 	"greengageweir/internal/common/clock"
 	"greengageweir/internal/common/ops"
@@ -109,16 +110,17 @@
 	pr.callerServer = &callerapi.Server{
 		Addr: ec.CallerAddr, Zone: zone, Dispatcher: dp, Services: pr.table, Clock: clk,
 		Ready: pr.ready, ShutdownDelay: ec.DrainNotice, ShutdownTimeout: ec.DrainPatience,
+		Limits: &admit.Listener{Process: deps.limits, Name: "callers", Connections: deps.limits.MaxConnections()},
 	}
 	sv := &serve.PeerHandler{Dispatcher: dp, Table: pr.table, Store: pr.store, Mesh: pr.mesh, Clock: clk}
 	pr.components = []weir.Component{
 		&ops.Server{
 			Addr: ec.OpsAddr, Operators: deps.operators, Level: deps.level, Version: cli.Version,
-			Dump: pr.dump, Ready: pr.ready,
+			Dump: pr.dump, Ready: pr.ready, Limits: operatorLimits(deps.limits),
 		},
 		pr.subscriber,
 		pr.mesh,
-		&peer.Server{Addr: ec.PeerAddr, Token: deps.token, Handle: sv.Handle, Logger: deps.logger},
+		&peer.Server{Addr: ec.PeerAddr, Token: deps.token, Handle: sv.Handle, Logger: deps.logger, MaxLinks: deps.limits.MaxLinks()},
 		&ledger.Recovery{
 			Self: ec.ID, Replicas: ec.replicaPeers(), Store: pr.store, Caller: pr.mesh, Logger: deps.logger,
 		},
@@ -126,7 +128,9 @@
 			Self: ec.ID, Zone: zone, Started: clk.Now().UTC().Round(time.Millisecond), Table: pr.table,
 			Control: pr.subscriber, Clock: clk, Logger: deps.logger,
 		},
-		&serve.AnnouncementServer{Addr: ec.EndpointAddr, Table: pr.table},
+		&serve.AnnouncementServer{Addr: ec.EndpointAddr, Table: pr.table, Limits: &admit.Listener{
+			Process: deps.limits, Name: "endpoints", Connections: deps.limits.MaxConnections(), JSON: true,
+		}},
 		&run.Func{Name: "drainer", Do: pr.drain},
 		pr.callerServer,
 	}
--- a/cmd/greengageweir/jobs.go
+++ b/cmd/greengageweir/jobs.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/cli"
 	"greengageweir/internal/common/clock"
@@ -34,6 +35,7 @@
 	Retention     time.Duration `long:"retention" env:"WEIR_RETENTION" default:"10m" description:"How long the state of an ended job can be queried"`
 	PeerTokenFile string        `long:"peer-token-file" env:"WEIR_PEER_TOKEN_FILE" description:"File with the token that processes share"`
 	LogLevel      string        `long:"log-level" env:"WEIR_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	limitFlags
 }
 
 const (
@@ -43,6 +45,8 @@
 	// logFlushTimeout is how long a process that ends waits for its last log lines
 	// to be written.
 	logFlushTimeout = 500 * time.Millisecond
+	// metricsCost is what a response with the metrics or the state may occupy.
+	metricsCost = 1 << 20
 )
 
 func (jc *jobsCommand) check() error {
@@ -62,6 +66,7 @@
 	ck.Count("--tolerance", jc.Tolerance, 0, maxTolerance)
 	ck.Range("--retention", jc.Retention, minRetention, maxRetention)
 	ck.File("--peer-token-file", jc.PeerTokenFile)
+	jc.limitFlags.check(&ck)
 	return ck.Err()
 }
 
@@ -96,23 +101,31 @@
 		PeerAddr: jc.PeerAddr, Zone: jc.Zone, Token: token, Seeds: jc.Seeds, DataDir: jc.DataDir, Voters: 2*jc.Tolerance + 1,
 		Retention: jc.Retention, LeaseHolder: jc.PeerAddr, Workers: taskapi.NewClient(clock.BootTime{}), Logger: lg,
 	}
+	limits := jc.process(lg)
+	lr.MaxLinks = limits.MaxLinks()
 	lr.build()
 	lr.components = append(lr.components, &ops.Listener{
 		Name: "jobs listener", Addr: jc.Listen, Handler: jobhttp.Routes(lr.handler, clock.Wall{}), ShutdownTimeout: controlShutdownTimeout,
+		Limits: &admit.Listener{
+			Process: limits, Name: "jobs", Connections: limits.MaxConnections(), MaxBody: maxJobsBody, JSON: true, Cost: catalogCost,
+		},
 	})
 	if jc.MetricsAddr != "" {
-		lr.components = append(lr.components, metricsListener(jc.MetricsAddr, lr.dumpState))
+		lr.components = append(lr.components, metricsListener(jc.MetricsAddr, lr.dumpState, limits))
 	}
 	return run.All(ctx, lg, lr.components...)
 }
 
 // metricsListener serves metrics and a dump of the process's state.
-func metricsListener(addr string, dump func() any) *ops.Listener {
+func metricsListener(addr string, dump func() any, limits *admit.Process) *ops.Listener {
 	ech := ops.NewEcho()
 	ech.GET("/metrics", func(ctx echo.Context) error {
 		metrics.WritePrometheus(ctx.Response(), true)
 		return nil
 	})
 	ech.GET("/state", func(ctx echo.Context) error { return ctx.JSON(http.StatusOK, dump()) })
-	return &ops.Listener{Name: "metrics", Addr: addr, Handler: ech}
+	return &ops.Listener{Name: "metrics", Addr: addr, Handler: ech, Limits: &admit.Listener{
+		Process: limits, Name: "metrics", Connections: limits.ServiceConnections(),
+		Cost: func(*http.Request) int64 { return metricsCost },
+	}}
 }
--- a/cmd/greengageweir/log_replica.go
+++ b/cmd/greengageweir/log_replica.go
@@ -66,6 +66,9 @@
 	MachineOrderRate float64
 	Adviser          weir.Adviser
 	Logger           log.Logger
+	// MaxLinks is the maximum number of links from other processes; 0 means the
+	// default.
+	MaxLinks int
 
 	node       *node.Node
 	roster     *roster.Roster
@@ -98,7 +101,7 @@
 	}
 	lr.components = []weir.Component{
 		lks, lr.node, com, sch, lr.roster, &teammetrics.Recorder{Store: str, Leads: sch.Ready},
-		&peer.Server{Addr: self.ID, Token: lr.Token, Handle: lr.handlePeerCall, Logger: lg},
+		&peer.Server{Addr: self.ID, Token: lr.Token, Handle: lr.handlePeerCall, Logger: lg, MaxLinks: lr.MaxLinks},
 	}
 }
 
--- a/cmd/greengageweir/platform.go
+++ b/cmd/greengageweir/platform.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/cli"
 	"greengageweir/internal/common/invariant"
 	"greengageweir/internal/common/logging"
@@ -41,6 +42,8 @@
 	LogLevel string `long:"log-level" env:"WEIR_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 
 	out *logging.Async
+	// limits are the limits that the listeners of the process share.
+	limits *admit.Process
 }
 
 // settingsPath returns the path of the settings file, from the flag or the
@@ -95,11 +98,12 @@
 	}
 	invariant.SetLogger(lg)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(st.Limits.MemoryMB) * mebibyte))
+	pf.limits = admit.New(admit.Settings{MemoryMB: st.Limits.MemoryMB, Descriptors: st.Limits.Descriptors, Logger: lg})
 	_ = lg.Log("level", "info", "msg", "started", "version", cli.Version, "zone", st.Zone, "peerAddr", st.PeerAddress(),
 		"seeds", len(st.Seeds), "firstStart", st.FirstStart, "memoryMB", st.Limits.MemoryMB)
 	return st, lg, nil
 }
 
-func platformMetricsListener(st *platform.Settings, dump func() any) *ops.Listener {
-	return metricsListener(st.MetricsAddress(), dump)
+func (pf *platformFlags) metricsListener(st *platform.Settings, dump func() any) *ops.Listener {
+	return metricsListener(st.MetricsAddress(), dump, pf.limits)
 }
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -48,6 +48,7 @@
 	debug.SetGCPercent(followerGCPercent)
 	ctx := signalContext(lg, func() string { return "no synced data" })
 	lr := newPlatformReplica(&st, lg)
+	lr.MaxLinks = pc.limits.MaxLinks()
 	lr.OnLeadershipChange = func(leads bool) {
 		percent := followerGCPercent
 		if leads {
@@ -59,8 +60,11 @@
 	ctl := &platform.ControlAPI{
 		Handler: lr.handler, Wall: clock.Wall{}, Logger: lg, Address: st.ControlAddress,
 	}
-	lr.components = append(lr.components, pc.watchSettings(lg, lr.roster), platformMetricsListener(&st, lr.dumpState),
-		&ops.Listener{Name: "control listener", Addr: st.Bind.Control, Handler: ctl.Routes(), ShutdownTimeout: controlShutdownTimeout})
+	lr.components = append(lr.components, pc.watchSettings(lg, lr.roster), pc.metricsListener(&st, lr.dumpState),
+		&ops.Listener{
+			Name: "control listener", Addr: st.Bind.Control, Handler: ctl.Routes(), ShutdownTimeout: controlShutdownTimeout,
+			Limits: platform.ControlLimits(pc.limits),
+		})
 	err = run.All(ctx, lg, lr.components...)
 	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
 	return err
--- a/cmd/greengageweir/platform_entry.go
+++ b/cmd/greengageweir/platform_entry.go
@@ -59,11 +59,13 @@
 		lks,
 		ros,
 		pc.watchSettings(lg, ros),
-		platformMetricsListener(st, func() any { return map[string]any{"holders": ros.ReplicaIDs(), "leader": ros.Leader()} }),
+		pc.metricsListener(st, func() any { return map[string]any{"holders": ros.ReplicaIDs(), "leader": ros.Leader()} }),
 		&ops.Listener{
 			Name: "callers' listener", Addr: st.Bind.Front, Handler: platform.NewCallerHandler(rly, lg),
-			ShutdownDelay: entryShutdownDelay, ShutdownTimeout: entryShutdownTimeout,
+			ShutdownDelay: entryShutdownDelay, ShutdownTimeout: entryShutdownTimeout, Limits: platform.CallerLimits(pc.limits),
+		},
+		&ops.Listener{
+			Name: "readiness", Addr: st.Bind.Ready, Handler: platform.NewReadinessHandler(ready), Limits: platform.ReadinessLimits(pc.limits),
 		},
-		&ops.Listener{Name: "readiness", Addr: st.Bind.Ready, Handler: platform.NewReadinessHandler(ready)},
 	}
 }
--- a/internal/common/ops/listener.go
+++ b/internal/common/ops/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"greengageweir/internal/common/admit"
 )
 
 // Listener is a component that serves HTTP on an address. When its context ends,
@@ -17,6 +19,8 @@
 	Handler         http.Handler
 	ShutdownDelay   time.Duration
 	ShutdownTimeout time.Duration
+	// Limits bounds what clients can make the process hold; nil sets no bounds.
+	Limits *admit.Listener
 
 	lis net.Listener
 }
@@ -40,5 +44,9 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { time.AfterFunc(ls.ShutdownDelay, cancel) })
 	defer stop()
-	return Serve(serveCtx, NewHTTPServer(ls.Handler), ls.lis, ls.ShutdownTimeout)
+	server, lis := NewHTTPServer(ls.Handler), ls.lis
+	if ls.Limits != nil {
+		lis = ls.Limits.Attach(server, lis)
+	}
+	return Serve(serveCtx, server, lis, ls.ShutdownTimeout)
 }
--- a/internal/common/ops/ops.go
+++ b/internal/common/ops/ops.go
@@ -16,6 +16,7 @@
 	"runtime"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/auth"
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/common/invariant"
@@ -58,6 +59,8 @@
 	Ready func() error
 	// Routes, if not nil, adds routes that need an operator's token.
 	Routes func(grp *echo.Group)
+	// Limits bounds what clients can make the process hold; nil sets no bounds.
+	Limits *admit.Listener
 
 	listener net.Listener
 	server   *http.Server
@@ -84,6 +87,9 @@
 	}
 	sv.listener = lis
 	sv.server = NewHTTPServer(sv.routes())
+	if sv.Limits != nil {
+		sv.listener = sv.Limits.Attach(sv.server, lis)
+	}
 	return nil
 }
 
--- a/internal/entry/callerapi/server.go
+++ b/internal/entry/callerapi/server.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/common/ops"
 	"greengageweir/internal/config/model"
@@ -69,6 +69,8 @@
 	// ShutdownTimeout is the time for requests in flight after that.
 	ShutdownDelay   time.Duration
 	ShutdownTimeout time.Duration
+	// Limits bounds what callers can make the process hold; nil sets no bounds.
+	Limits *admit.Listener
 
 	listener net.Listener
 	server   *http.Server
@@ -93,6 +95,11 @@
 	ech.GET("/healthz", func(ctx echo.Context) error { return ctx.String(http.StatusOK, "ok\n") })
 	ech.GET("/readyz", sv.handleReady)
 	sv.server = ops.NewHTTPServer(ech)
+	if sv.Limits != nil {
+		sv.Limits.MaxBody = maxBodyBytes
+		sv.Limits.OnRefusal = func(header http.Header) { header.Set(caller.HeaderOutcome, string(weir.NotRun)) }
+		sv.listener = sv.Limits.Attach(sv.server, lis)
+	}
 	return nil
 }
 
@@ -172,7 +179,7 @@
 	if !ok {
 		return weir.Request{}, &Error{Op: "service " + string(name), Kind: KindRequest, Err: errors.New("no such service")}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.Response(), httpReq.Body, maxBodyBytes))
+	body, err := admit.ReadBody(httpReq, maxBodyBytes)
 	if err != nil {
 		return weir.Request{}, &Error{Op: "read body", Kind: KindRequest, Err: err}
 	}
--- a/internal/entry/serve/serve.go
+++ b/internal/entry/serve/serve.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/errkind"
 	"greengageweir/internal/common/ops"
 	"greengageweir/internal/contract/endpoint"
@@ -107,8 +108,9 @@
 }
 
 const (
-	maxAnnouncementSize = "1M"
-	shutdownTimeout     = time.Second
+	maxAnnouncementSize  = "1M"
+	maxAnnouncementBytes = 1 << 20
+	shutdownTimeout      = time.Second
 )
 
 // AnnouncementServer is the HTTP server for the announcements of endpoints. Set
@@ -116,6 +118,8 @@
 type AnnouncementServer struct {
 	Addr  string
 	Table *routing.Table
+	// Limits bounds what clients can make the process hold; nil sets no bounds.
+	Limits *admit.Listener
 
 	listener net.Listener
 	server   *http.Server
@@ -135,6 +139,10 @@
 	ech.Use(middleware.BodyLimit(maxAnnouncementSize))
 	ech.POST(endpoint.PathAnnounce, an.handleAnnounce)
 	an.server = ops.NewHTTPServer(ech)
+	if an.Limits != nil {
+		an.Limits.MaxBody = maxAnnouncementBytes
+		an.listener = an.Limits.Attach(an.server, lis)
+	}
 	return nil
 }
 
