fix: refusals by the limits carry an outcome

The client of the product's own API takes a response without an outcome for a success, so that weirctl would have reported a refused job or catalog as accepted. Refusals say "unavailable" or "invalid" there and "notRun" to callers of an entry process, and docs/CALLERS.md names 408 and 413.

--- a/cmd/greengageweir/jobs.go
+++ b/cmd/greengageweir/jobs.go
@@ -107,7 +107,7 @@
 	lr.components = append(lr.components, &ops.Listener{
 		Name: "jobs listener", Addr: jc.Listen, Handler: jobhttp.Routes(lr.handler, clock.Wall{}), ShutdownTimeout: controlShutdownTimeout,
 		Limits: &admit.Listener{
-			Process: limits, Name: "jobs", Connections: limits.MaxConnections(), MaxBody: maxJobsBody, JSON: true, Cost: catalogCost,
+			Process: limits, Name: "jobs", Connections: limits.MaxConnections(), MaxBody: maxJobsBody, JSON: true, Cost: catalogCost, Outcome: refusalOutcome,
 		},
 	})
 	if jc.MetricsAddr != "" {
--- a/cmd/greengageweir/limits.go
+++ b/cmd/greengageweir/limits.go
@@ -7,6 +7,7 @@
 
 	"greengageweir/internal/common/admit"
 	"greengageweir/internal/common/settings"
+	"greengageweir/internal/contract/jobapi"
 
 	"github.com/go-kit/log"
 )
@@ -57,6 +58,15 @@
 	return 0
 }
 
+// refusalOutcome returns the outcome of a refused call about jobs. Without one, a client
+// would take the refusal for a success.
+func refusalOutcome(status int) string {
+	if status == http.StatusRequestEntityTooLarge {
+		return string(jobapi.Invalid)
+	}
+	return string(jobapi.Unavailable)
+}
+
 // maxJobsBody bounds the body of a request to the jobs listener, as jobhttp does.
 const maxJobsBody = 8 * mebibyte
 
--- a/internal/common/admit/listener.go
+++ b/internal/common/admit/listener.go
@@ -57,6 +57,8 @@
 	Cost func(req *http.Request) int64
 	// OnRefusal, if not nil, adds headers to refusals.
 	OnRefusal func(header http.Header)
+	// Outcome, if not nil, returns the field "outcome" of a refusal with a status.
+	Outcome func(status int) string
 
 	slots    slots
 	counters map[Reason]*metrics.Counter
@@ -245,7 +247,11 @@
 		ls.OnRefusal(header)
 	}
 	wr.WriteHeader(status)
-	_, _ = io.WriteString(wr, `{"reason":"`+text+`"}`+"\n")
+	outcome := ""
+	if ls.Outcome != nil {
+		outcome = `"outcome":"` + ls.Outcome(status) + `",`
+	}
+	_, _ = io.WriteString(wr, `{`+outcome+`"reason":"`+text+`"}`+"\n")
 	ctl := http.NewResponseController(wr)
 	if ctl.Flush() != nil || req.Body == nil {
 		return
--- a/internal/entry/callerapi/server.go
+++ b/internal/entry/callerapi/server.go
@@ -98,6 +98,7 @@
 	if sv.Limits != nil {
 		sv.Limits.MaxBody = maxBodyBytes
 		sv.Limits.OnRefusal = func(header http.Header) { header.Set(caller.HeaderOutcome, string(weir.NotRun)) }
+		sv.Limits.Outcome = func(int) string { return string(weir.NotRun) }
 		sv.listener = sv.Limits.Attach(sv.server, lis)
 	}
 	return nil
