--- a/cmd/weirctl/main.go
+++ b/cmd/weirctl/main.go
@@ -42,7 +42,9 @@
 			{Name: "show", Short: "Show a job, or the number of pending jobs of a queue", Data: &jobShow{}},
 			{Name: "cancel", Short: "Cancel a job", Data: &jobCancel{}},
 		}},
-		{Name: "catalog", Short: "Show and change queues, pools and teams", Sub: []cli.Command{
+		{Name: "catalog", Short: "Check, show and change queues, pools and teams", Sub: []cli.Command{
+			{Name: "check", Short: "Check a file before it is sent: what would be refused (error), has no effect or contradicts (warning); status 1 on errors, with --strict also on warnings", Data: &catalogCheck{}},
+			{Name: "diff", Short: "Show what a file would change, against the version in force (without keys) or another file", Data: &catalogDiff{}},
 			{Name: "put", Short: "Apply a version", Data: &catalogPut{}},
 			{Name: "show", Short: "Show the version in force", Data: &catalogShow{}},
 		}},
