--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 check-examples: build
 	$(BIN)/weirctl config check --dir examples/alokchitra
 	$(BIN)/weirctl config check --dir examples/retourpost
+	$(BIN)/weirctl catalog check --strict --file examples/jobs/catalog.json
+	$(BIN)/weirctl catalog check --strict --file examples/jobs/teams.json
 
 soak: build
 	scripts/soak.sh $(SEED) $(DURATION)
