test: keys after a restart, and the check of the load, do not depend on the machine's speed

On a machine with a load of 40, one run of each failed. In 150 runs of the first beside each other, calls are answered with Unknown ("propose: outcome unknown, leadership changed: context deadline exceeded") or Unavailable ("no leader"); the test took these for final. Callers repeat such calls, and now so does the test. The check of the load gave its calls 2 s for two answers each: all 25 queries by the other team came after that. It asserts no times, and has 20 s now.

--- a/internal/job/handler/teams_test.go
+++ b/internal/job/handler/teams_test.go
@@ -60,7 +60,14 @@
 func (sy *system) call(kind jobapi.Kind, queue, id string, key auth.Key) jobapi.Reply {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
-	return sy.handler.Handle(ctx, teamCall(kind, queue, id, key))
+	for {
+		rep := sy.handler.Handle(ctx, teamCall(kind, queue, id, key))
+		// Callers repeat a call that met no leader, or whose commit took too long.
+		if (rep.Outcome != jobapi.Unknown && rep.Outcome != jobapi.Unavailable) || ctx.Err() != nil {
+			return rep
+		}
+		sy.t.Logf("%s %s: %s", kind, id, rep.Reason)
+	}
 }
 
 func teamCall(kind jobapi.Kind, queue, id string, key auth.Key) jobapi.Call {
--- a/internal/standin/jobload/jobload_test.go
+++ b/internal/standin/jobload/jobload_test.go
@@ -42,7 +42,7 @@
 		srv := httptest.NewServer(jobhttp.Routes(hd, clock.Wall{}))
 		defer srv.Close()
 		gn := &jobload.Generator{
-			Addrs: []string{srv.Listener.Addr().String()}, Queue: "q", Rate: 50, Duration: 500 * time.Millisecond, Patience: 2 * time.Second,
+			Addrs: []string{srv.Listener.Addr().String()}, Queue: "q", Rate: 50, Duration: 500 * time.Millisecond, Patience: 20 * time.Second,
 			Teams:   []jobload.Team{{Name: "hot", Key: "hot", Share: 1}, {Name: "idle", Key: "idle"}},
 			Revoked: []auth.Key{"revoked"}, Clock: clock.System{},
 		}
