refactor: one rule of what a cap leaves, one dominant share, one hashing of keys

What a cap leaves was computed in catalog.Team.StartsAllowed for the log and in placement.Startable for proposals, which have to agree: both use spec.Resources.Left now. The largest fraction of a total was written in placement and in teammetrics, now spec.Resources.DominantShare. A benchmark's job in admit has the product's own field names.

No behaviour changes; tests call the moved functions by their new names and assert what they did.

--- a/internal/common/admit/admit_test.go
+++ b/internal/common/admit/admit_test.go
@@ -221,7 +221,7 @@
 
 // BenchmarkMeasure measures the pass over an ordinary job.
 func BenchmarkMeasure(b *testing.B) {
-	text := []byte(`{"spec":"some text","steps":[{"count":3,"cpu":500,"mem_mb":100,"estimated_ms":1200,"after":[]},{"count":1,"after":[0]}]}`)
+	text := []byte(`{"text":"some text","steps":[{"count":3,"milliCpu":500,"memoryMb":100,"estimateMillis":1200,"after":[]},{"count":1,"after":[0]}]}`)
 	pr := New(Settings{})
 	for b.Loop() {
 		pr.measure(text)
--- a/internal/config/catalog/cap.go
+++ b/internal/config/catalog/cap.go
@@ -28,19 +28,15 @@
 // while its runs request use. While use exceeds the cap in any resource, that is
 // none, also of runs that request nothing of that resource.
 func (tm Team) StartsAllowed(use, request spec.Resources) int {
-	allowed := math.MaxInt
+	allowed, left := math.MaxInt, tm.Cap.Left(use)
 	for _, cr := range CapResources {
-		limit := cr.Of(tm.Cap)
-		if limit == 0 {
-			continue
-		}
 		// The sum of use and all requests may exceed the range of an int.
-		room := limit - cr.Of(use)
+		room, each := cr.Of(left), cr.Of(request)
 		switch {
 		case room < 0:
 			return 0
-		case cr.Of(request) > 0:
-			allowed = min(allowed, room/cr.Of(request))
+		case room != spec.NoLimit && each > 0:
+			allowed = min(allowed, room/each)
 		}
 	}
 	return allowed
--- a/internal/config/catalog/team.go
+++ b/internal/config/catalog/team.go
@@ -35,6 +35,15 @@
 	return KeyHash(hex.EncodeToString(mac.Sum(nil)))
 }
 
+// HashKeys returns the hashes of API keys under the given salt.
+func HashKeys(salt []byte, keys []auth.Key) []KeyHash {
+	var hashes []KeyHash
+	for _, key := range keys {
+		hashes = append(hashes, HashKey(salt, key))
+	}
+	return hashes
+}
+
 // saltBytes is the length of a new KeySalt.
 const saltBytes = 16
 
--- a/internal/contract/jobhttp/jobhttp.go
+++ b/internal/contract/jobhttp/jobhttp.go
@@ -139,11 +139,9 @@
 	}
 	out.RequiresKeys, out.KeySalt = true, catalog.NewKeySalt()
 	for _, tm := range ct.Teams {
-		team := catalog.Team{Name: tm.Name, Weight: tm.Weight, Cap: spec.Resources(tm.Cap)}
-		for _, key := range tm.Keys {
-			team.KeyHashes = append(team.KeyHashes, catalog.HashKey(out.KeySalt, key))
-		}
-		out.Teams = append(out.Teams, team)
+		out.Teams = append(out.Teams, catalog.Team{
+			Name: tm.Name, KeyHashes: catalog.HashKeys(out.KeySalt, tm.Keys), Weight: tm.Weight, Cap: spec.Resources(tm.Cap),
+		})
 	}
 	return out
 }
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -152,7 +152,7 @@
 func teamUse(rd store.Reader, jobs []pendingJob, wall time.Time) (map[weir.TeamName]placement.Team, map[weir.PoolName]placement.PoolUse) {
 	teams, pools := map[weir.TeamName]placement.Team{}, map[weir.PoolName]placement.PoolUse{}
 	rd.EachTeam(func(tm catalog.Team) {
-		teams[tm.Name] = placement.Team{Weight: tm.Weight, Startable: placement.Startable(tm.Cap, rd.TeamUse(tm.Name))}
+		teams[tm.Name] = placement.Team{Weight: tm.Weight, Startable: tm.Cap.Left(rd.TeamUse(tm.Name))}
 	})
 	if len(teams) == 0 {
 		return nil, nil
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -79,6 +79,33 @@
 	return Resources{MilliCPU: int(float64(rs.MilliCPU) * factor), MemoryMB: int(float64(rs.MemoryMB) * factor), GPU: int(float64(rs.GPU) * factor)}
 }
 
+// NoLimit is the amount of a resource that no limit applies to.
+const NoLimit = math.MaxInt
+
+// Left returns what a limit leaves beside the amounts in use: NoLimit for a resource
+// with a limit of 0, and a negative amount for one of which more is in use.
+func (rs Resources) Left(use Resources) Resources {
+	left := func(limit, use int) int {
+		if limit == 0 {
+			return NoLimit
+		}
+		return limit - use
+	}
+	return Resources{MilliCPU: left(rs.MilliCPU, use.MilliCPU), MemoryMB: left(rs.MemoryMB, use.MemoryMB), GPU: left(rs.GPU, use.GPU)}
+}
+
+// DominantShare returns the largest fraction of a total that the amounts are, over
+// all resources that the total has.
+func (rs Resources) DominantShare(total Resources) float64 {
+	share := 0.0
+	for _, pair := range [][2]int{{rs.MilliCPU, total.MilliCPU}, {rs.MemoryMB, total.MemoryMB}, {rs.GPU, total.GPU}} {
+		if pair[1] > 0 {
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return share
+}
+
 // Max returns the larger amount of each resource.
 func (rs Resources) Max(other Resources) Resources {
 	return Resources{MilliCPU: max(rs.MilliCPU, other.MilliCPU), MemoryMB: max(rs.MemoryMB, other.MemoryMB), GPU: max(rs.GPU, other.GPU)}
--- a/internal/job/teammetrics/teammetrics.go
+++ b/internal/job/teammetrics/teammetrics.go
@@ -111,7 +111,7 @@
 	for _, tm := range teams {
 		use := rd.TeamUse(tm.Name)
 		out = append(out, usage{
-			team: tm.Name, capRatio: dominantShare(use, tm.Cap), useShare: dominantShare(use, total), pending: rd.TeamPending(tm.Name),
+			team: tm.Name, capRatio: use.DominantShare(tm.Cap), useShare: use.DominantShare(total), pending: rd.TeamPending(tm.Name),
 		})
 	}
 	slices.SortFunc(out, func(one, two usage) int {
@@ -121,15 +121,3 @@
 	})
 	return out
 }
-
-// dominantShare returns the largest fraction of a total that is in use, over all
-// resources that the total has.
-func dominantShare(use, total spec.Resources) float64 {
-	share := 0.0
-	for _, pair := range [][2]int{{use.MilliCPU, total.MilliCPU}, {use.MemoryMB, total.MemoryMB}, {use.GPU, total.GPU}} {
-		if pair[1] > 0 {
-			share = max(share, float64(pair[0])/float64(pair[1]))
-		}
-	}
-	return share
-}
--- a/internal/schedule/placement/backlog_test.go
+++ b/internal/schedule/placement/backlog_test.go
@@ -78,7 +78,7 @@
 	teams := map[weir.TeamName]Team{}
 	for ix := range groups {
 		groups[ix].Team = weir.TeamName(fmt.Sprint("t", ix%count))
-		teams[groups[ix].Team] = Team{Weight: 1, Startable: spec.Resources{MilliCPU: 2_000_000, MemoryMB: NoLimit, GPU: NoLimit}}
+		teams[groups[ix].Team] = Team{Weight: 1, Startable: spec.Resources{MilliCPU: 2_000_000, MemoryMB: spec.NoLimit, GPU: spec.NoLimit}}
 	}
 	pools := poolUses(workers)
 	b.ReportAllocs()
--- a/internal/schedule/placement/order_test.go
+++ b/internal/schedule/placement/order_test.go
@@ -118,7 +118,7 @@
 		for ix := range groups {
 			groups[ix].Team = "only"
 		}
-		teams := map[weir.TeamName]Team{"only": {Weight: 1, Startable: Startable(spec.Resources{}, spec.Resources{})}}
+		teams := map[weir.TeamName]Team{"only": {Weight: 1, Startable: spec.Resources{}.Left(spec.Resources{})}}
 		require.Equal(t, want, Place(testNow, groups, workers, teams, poolUses(workers)), "one team, seed %d", seed)
 	}
 	require.Greater(t, placed, 200*20, "the backlogs place something")
--- a/internal/schedule/placement/team.go
+++ b/internal/schedule/placement/team.go
@@ -2,39 +2,23 @@
 
 import (
 	"maps"
-	"math"
 
 	"greengageweir/internal/job/spec"
 
 	weir "greengageweir"
 )
 
-// NoLimit is the amount of a resource that no limit applies to.
-const NoLimit = math.MaxInt
-
 // Team is a team of the configuration.
 type Team struct {
 	// Weight is the team's part of a pool in relation to the other teams that run
 	// or wait there.
 	Weight float64
 	// Startable is what further runs of the team may request in total under its
-	// cap. It is NoLimit for each resource without a limit, and negative for one
-	// of which the team uses more than its cap; then nothing may start.
+	// cap. It is spec.NoLimit for each resource without a limit, and negative for
+	// one of which the team uses more than its cap; then nothing may start.
 	Startable spec.Resources
 }
 
-// Startable returns what further runs may request under a cap if the present runs
-// request use. A cap has no limit for a resource with 0.
-func Startable(limit, use spec.Resources) spec.Resources {
-	left := func(limit, use int) int {
-		if limit == 0 {
-			return NoLimit
-		}
-		return limit - use
-	}
-	return spec.Resources{MilliCPU: left(limit.MilliCPU, use.MilliCPU), MemoryMB: left(limit.MemoryMB, use.MemoryMB), GPU: left(limit.GPU, use.GPU)}
-}
-
 // PoolUse is what the teams use of a pool.
 type PoolUse struct {
 	// Capacity is the total of the pool's workers, also of those that take no
@@ -69,13 +53,7 @@
 // DominantUse returns the largest of the fractions of the pool's capacity that a
 // team's runs reserve.
 func (pu PoolUse) DominantUse(name weir.TeamName) float64 {
-	use, fraction := pu.Teams[name], 0.0
-	for _, rs := range [][2]int{{use.MilliCPU, pu.Capacity.MilliCPU}, {use.MemoryMB, pu.Capacity.MemoryMB}, {use.GPU, pu.Capacity.GPU}} {
-		if rs[1] > 0 {
-			fraction = max(fraction, float64(rs[0])/float64(rs[1]))
-		}
-	}
-	return fraction
+	return pu.Teams[name].DominantShare(pu.Capacity)
 }
 
 // AboveShare reports whether a team with the given share uses more than that. A team
--- a/internal/schedule/placement/team_test.go
+++ b/internal/schedule/placement/team_test.go
@@ -11,7 +11,7 @@
 	weir "greengageweir"
 )
 
-var noCap = Startable(spec.Resources{}, spec.Resources{})
+var noCap = spec.Resources{}.Left(spec.Resources{})
 
 // teamGroup returns a group of a team whose job has the same name; work orders it.
 func teamGroup(team string, work float64, step spec.Step) Group {
@@ -79,7 +79,7 @@
 	equal := func(startable ...int) map[weir.TeamName]Team {
 		teams := map[weir.TeamName]Team{"a": {Weight: 1, Startable: noCap}, "b": {Weight: 1, Startable: noCap}, "c": {Weight: 1, Startable: noCap}}
 		for ix, count := range startable {
-			teams[weir.TeamName("abc"[ix:ix+1])] = Team{Weight: 1, Startable: spec.Resources{MilliCPU: count * 1000, MemoryMB: NoLimit, GPU: NoLimit}}
+			teams[weir.TeamName("abc"[ix:ix+1])] = Team{Weight: 1, Startable: spec.Resources{MilliCPU: count * 1000, MemoryMB: spec.NoLimit, GPU: spec.NoLimit}}
 		}
 		return teams
 	}
