--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# A wave waits while the log grows; the control processes are then restarted in turn.
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../fleet-2.sh" wave-restart "$here/record.txt"
--- /dev/null
+++ b/review/probe/cases.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"greengageweir/internal/common/clock"
+)
+
+const (
+	// finishTime is finish_s, calmTime the span for which a job has to stand still.
+	finishTime = 14 * time.Second
+	calmTime   = 3 * time.Second
+	jobID      = "5c0e7a21d94b36f8"
+	otherID    = "7d1f8b32ea5c4709"
+)
+
+// lasting is a step of one task that lasts.
+func lasting(count int) map[string]any {
+	return map[string]any{"count": count, "cpu": 5000, "mem_mb": 9700, "estimated_ms": 700, "long_running": true, "anti_affinity": 1, "may_miss": 1}
+}
+
+// crashedWorkers crashes two workers, one after the other, each a second after a task
+// of the same lasting job has begun there.
+func crashedWorkers(fl *fleet) error {
+	if status, _ := fl.askAgain(http.MethodPost, "/a/"+jobID, job("cpu=5000", lasting(5))); status != http.StatusOK {
+		return errNotAccepted
+	}
+	first := jobID + ".0.0.0"
+	for run := 1; run <= 2; run++ {
+		var mc *machine
+		if err := fl.until(20*time.Second, "next run", func() bool {
+			found, number := fl.running(first)
+			mc = found
+			return found != nil && number >= run
+		}); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+		if fl.trouble {
+			fl.restart(mc, 2*time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	end := now().Add(20 * time.Second)
+	for now().Before(end) {
+		status, text := fl.askAgain(http.MethodGet, "/a/"+jobID, nil)
+		if status == http.StatusOK && strings.Contains(text, "failed") {
+			time.Sleep(9 * time.Second)
+			mc, _ := fl.running(first)
+			return broken("a lasting job that nobody cancelled is shown as failed; no run ended failed, two workers crashed; its first task runs again: %v", mc != nil)
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// removedQueue removes the queue of an accepted job from the configuration while the
+// job's first step runs.
+func removedQueue(fl *fleet) error {
+	first := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 2500}
+	second := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 2500, "after": []int{0}}
+	if status, _ := fl.askAgain(http.MethodPost, "/a/"+jobID, job("work_ms=2500 cpu=3500", first, second)); status != http.StatusOK {
+		return errNotAccepted
+	}
+	if err := fl.until(10*time.Second, "start of the first step", func() bool {
+		_, tasks := fl.tasks("pool-a", jobID)
+		return tasks == 2
+	}); err != nil {
+		return err
+	}
+	queues := []string{"a", "b"}
+	if fl.trouble {
+		queues = []string{"b"}
+	}
+	if err := fl.configure(2, queues...); err != nil {
+		return err
+	}
+	time.Sleep(finishTime)
+	_, _ = fl.ask(0, http.MethodGet, "/a/"+jobID, nil)
+	idle := now()
+	for now().Sub(idle) < calmTime {
+		if _, tasks := fl.tasks("pool-a", jobID); tasks > 0 || fl.rec.hasStarted(jobID+".0.1.") {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	all, _ := fl.tasks("pool-a", jobID)
+	return broken("the second step of an accepted job has not begun %s after the first, with %d tasks in its pool of %d workers", finishTime+calmTime, all, workersInPool)
+}
+
+// dottedID submits a job whose id has a dot, then an ordinary one.
+func dottedID(fl *fleet) error {
+	id := otherID
+	if fl.trouble {
+		id = "7d1f8b32.a5c4709"
+	}
+	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
+	_, _ = fl.ask(0, http.MethodPost, "/a/"+id, job("work_ms=1000 cpu=3500", step))
+	time.Sleep(500 * time.Millisecond)
+	return fl.ordinary("a", 60*time.Second)
+}
+
+// ordinary submits an ordinary job and expects it to be done within a limit.
+func (fl *fleet) ordinary(queue string, limit time.Duration) error {
+	step := map[string]any{"count": 8, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
+	path := "/" + queue + "/" + jobID
+	if status, _ := fl.askAgain(http.MethodPost, path, job("work_ms=1000 cpu=3500", step)); status != http.StatusOK {
+		return errNotAccepted
+	}
+	end := now().Add(limit)
+	text := ""
+	for now().Before(end) {
+		_, text = fl.askAgain(http.MethodGet, path, nil)
+		if strings.Contains(text, "done") {
+			return nil
+		}
+		time.Sleep(2 * time.Second)
+	}
+	return broken("an accepted job is not done after %s; its last answer was %q", limit, text)
+}
+
+// largeSchedule submits a job with many times of many tasks.
+func largeSchedule(fl *fleet) error {
+	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
+	large := job("work_ms=1000 cpu=3500", step)
+	large["repeat_count"], large["interval_ms"] = 2, 60000
+	large["start_at_ms"] = clock.Wall{}.Now().Add(time.Hour).UnixMilli()
+	if fl.trouble {
+		step["count"], large["repeat_count"] = 200, 10000
+	}
+	_, _ = fl.ask(0, http.MethodPost, "/b/"+otherID, large)
+	return fl.ordinary("a", 60*time.Second)
+}
+
+// endReason has a worker list an end with a reason that holds a quotation mark.
+func endReason(fl *fleet) error {
+	if fl.trouble {
+		change := func(name, how string) string {
+			if strings.HasPrefix(name, otherID) {
+				return `killed "oom"`
+			}
+			return how
+		}
+		fl.how.Store(&change)
+	}
+	step := map[string]any{"count": 1, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
+	_, _ = fl.ask(0, http.MethodPost, "/a/"+otherID, job("work_ms=1000 cpu=3500", step))
+	time.Sleep(1500 * time.Millisecond)
+	return fl.ordinary("a", 40*time.Second)
+}
+
+const (
+	// jobRate is within a burst of 2.6 times the site's 18.7 jobs a second.
+	jobRate  = 45
+	fillTime = 40 * time.Second
+	// restartGap is the pause between two control processes that are restarted in turn.
+	restartGap = 2 * time.Second
+	// recoverTime is recover_s.
+	recoverTime = 12 * time.Second
+)
+
+// waveBeforeRestart starts a wave that has to wait, since a lasting job has as many
+// tasks away as it allows. Ordinary jobs run meanwhile. Then the control processes are
+// stopped and started in turn, and the lasting job is cancelled, so that the wave begins.
+func waveBeforeRestart(fl *fleet) error {
+	lastingA, lastingB := "7d1f8b32ea5c47a0", "7d1f8b32ea5c47b0"
+	for path, count := range map[string]int{"/a/" + lastingA: workersInPool + 1, "/b/" + lastingB: workersInPool} {
+		if status, _ := fl.askAgain(http.MethodPost, path, job("cpu=5000", lasting(count))); status != http.StatusOK {
+			return errNotAccepted
+		}
+	}
+	if err := fl.until(20*time.Second, "start of the lasting jobs", func() bool {
+		_, inA := fl.tasks("pool-a", lastingA)
+		_, inB := fl.tasks("pool-b", lastingB)
+		return inA == workersInPool && inB == workersInPool
+	}); err != nil {
+		return err
+	}
+	if err := fl.startWave(1, "m-00"); err != nil {
+		return err
+	}
+	last := fl.fill(fillTime)
+	if last == "" {
+		return errNotAccepted
+	}
+	if fl.trouble {
+		for _, name := range []string{"core-1", "core-2", "core-3", "core-4"} {
+			if err := fl.signal(name, syscall.SIGTERM); err != nil {
+				return err
+			}
+			time.Sleep(restartGap)
+		}
+	}
+	_, _ = fl.askAgain(http.MethodDelete, "/a/"+lastingA, nil)
+	time.Sleep(recoverTime)
+	for try := range 3 * zones {
+		if status, _ := fl.ask(try%zones, http.MethodGet, last, nil); status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return broken("no process answers about an accepted job, %s after the control processes were restarted in turn", recoverTime)
+}
+
+// fill submits ordinary jobs for a while. It returns the path of one that was accepted,
+// "" if none was.
+func (fl *fleet) fill(span time.Duration) string {
+	first := map[string]any{"count": 1, "cpu": 500, "mem_mb": 500, "estimated_ms": 100}
+	second := map[string]any{"count": 1, "cpu": 500, "mem_mb": 500, "estimated_ms": 100, "after": []int{0}}
+	ticker := time.NewTicker(time.Second / jobRate)
+	defer ticker.Stop()
+	var accepted atomic.Value
+	var group sync.WaitGroup
+	begin := now()
+	for number := 0; now().Sub(begin) < span; number++ {
+		<-ticker.C
+		group.Go(func() {
+			path := fmt.Sprintf("/b/%016x", number)
+			if status, _ := fl.ask(number%zones, http.MethodPost, path, job("work_ms=100 cpu=500", first, second)); status == http.StatusOK {
+				accepted.Store(path)
+			}
+		})
+	}
+	group.Wait()
+	path, _ := accepted.Load().(string)
+	return path
+}
