--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -13,6 +13,8 @@
 dir=$(mktemp -d) || exit 2
 base=127.$((30 + RANDOM % 200))
 supervisors=()
+# memory_mb is that of a core machine of sites/alokchitra-weir.
+memory_mb=280
 
 settings() { # NAME IP ZONE ROLE
 	local name=$1 ip=$2 zone=$3 role=$4 bind data=null
@@ -30,7 +32,7 @@
   "bind_addrs": $bind, "port_range": [7060, 7075],
   "seeds": ["$base.1.10:8623", "$base.2.10:8623", "$base.3.10:8623"],
   "bootstrap": true, "in_tolerance": false,
-  "limits": {"cpu_share": 0.624, "cores": 1, "memory_mb": ${MEMORY_MB:-280}, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128},
+  "limits": {"cpu_share": 0.624, "cores": 1, "memory_mb": $memory_mb, "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128},
   "data_dir": $data, "discovery": "self_register", "entrypoint": "vip", "heartbeat_ms": 1500,
   "contracts": ["base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"],
   "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
@@ -59,6 +61,28 @@
 	done
 }
 
+# enforce_memory kills a process of the fleet that uses more than memory_mb, as the
+# platform does.
+enforce_memory() {
+	local file pid name used
+	declare -A peak
+	while [ ! -e "$dir/stop" ]; do
+		for file in "$dir"/*.pid; do
+			pid=$(cat "$file")
+			name=$(basename "$file" .pid)
+			used=$(awk '/^VmRSS/ {print int($2 / 1024)}' "/proc/$pid/status" 2>/dev/null)
+			if [ "${used:-0}" -gt "${peak[$name]:-0}" ]; then
+				peak[$name]=$used
+				echo "$used" >"$dir/$name.peak"
+			fi
+			if [ "${used:-0}" -gt "$memory_mb" ]; then
+				kill -KILL "$pid" 2>/dev/null && echo "$name killed above $memory_mb MB" >>"$dir/ends"
+			fi
+		done
+		sleep 0.1
+	done
+}
+
 stop_fleet() {
 	touch "$dir/stop"
 	for file in "$dir"/*.pid; do
@@ -85,9 +109,14 @@
 	supervise "edge-$zone" platform-entry &
 	supervisors+=($!)
 done
+enforce_memory &
+supervisors+=($!)
 timeout 115 target/review-probe --case "$case_name" --fleet "$dir" --base "$base" --record "$record"
 code=$?
 [ "$code" -le 2 ] || code=2
+for file in "$dir"/core-*.peak; do
+	echo "process    $(basename "$file" .peak) used at most $(cat "$file") MB" >>"$record"
+done
 if [ -e "$dir/ends" ]; then
 	sort "$dir/ends" | uniq -c | sed 's/^ */process    /' >>"$record"
 fi
--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,43 +105,106 @@
 	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
 	_, _ = fl.ask(0, http.MethodPost, "/a/"+id, job("work_ms=1000 cpu=3500", step))
 	time.Sleep(500 * time.Millisecond)
-	return fl.ordinary("a", 60*time.Second)
+	return fl.ordinary("a", 50*time.Second)
 }
 
-// ordinary submits an ordinary job and expects it to be done within a limit.
+// ordinary submits an ordinary job and expects it to be done within a limit. Otherwise
+// the rule is broken if nothing of the job has run for calmTime, though its pool is idle.
 func (fl *fleet) ordinary(queue string, limit time.Duration) error {
 	step := map[string]any{"count": 8, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
 	path := "/" + queue + "/" + jobID
 	if status, _ := fl.askAgain(http.MethodPost, path, job("work_ms=1000 cpu=3500", step)); status != http.StatusOK {
 		return errNotAccepted
 	}
-	end := now().Add(limit)
+	begin, asked, active := now(), now(), now()
 	text := ""
-	for now().Before(end) {
-		_, text = fl.askAgain(http.MethodGet, path, nil)
+	for now().Sub(begin) < limit {
+		if all, _ := fl.tasks("pool-"+queue, jobID); all > 0 {
+			active = now()
+		}
+		if now().Sub(asked) > 2*time.Second {
+			_, text = fl.askAgain(http.MethodGet, path, nil)
+			asked = now()
+		}
 		if strings.Contains(text, "done") {
 			return nil
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(50 * time.Millisecond)
 	}
-	return broken("an accepted job is not done after %s; its last answer was %q", limit, text)
+	if idle := now().Sub(active); idle > calmTime {
+		return broken("an accepted job is not done after %s, and its pool of %d workers has been idle for %s; its last answer was %q",
+			limit, workersInPool, idle.Round(time.Second), strings.TrimSpace(text))
+	}
+	return nil
 }
 
-// largeSchedule submits a job with many times of many tasks.
-func largeSchedule(fl *fleet) error {
-	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
-	large := job("work_ms=1000 cpu=3500", step)
-	large["repeat_count"], large["interval_ms"] = 2, 60000
-	large["start_at_ms"] = clock.Wall{}.Now().Add(time.Hour).UnixMilli()
+const (
+	// manySteps is how many steps the large job has, manyTimes how often they run.
+	manySteps = 256
+	manyTimes = 10_000
+	fewTimes  = 2
+)
+
+// manyFields has an ordinary job run, and then submits a job of legal size that is made
+// of very many short fields.
+func manyFields(fl *fleet) error {
+	if err := fl.ordinary("a", 20*time.Second); err != nil {
+		return err
+	}
+	times := fewTimes
 	if fl.trouble {
-		step["count"], large["repeat_count"] = 200, 10000
+		times = manyTimes
+	}
+	list := make([]map[string]any, manySteps)
+	for no := range list {
+		list[no] = map[string]any{"count": 1, "cpu": 500, "mem_mb": 100, "estimated_ms": 100}
 	}
+	large := job("work_ms=100 cpu=500", list...)
+	large["repeat_count"], large["interval_ms"], large["start_at_ms"] = times, 1, clock.Wall{}.Now().UnixMilli()
 	_, _ = fl.ask(0, http.MethodPost, "/b/"+otherID, large)
-	return fl.ordinary("a", 60*time.Second)
+	return fl.checkAnswers()
+}
+
+// checkAnswers waits, and then asks about the job that was done before. The rule is
+// broken if control processes end by themselves again and again.
+func (fl *fleet) checkAnswers() error {
+	time.Sleep(finishTime + recoverTime)
+	answered := 0
+	for try := range 4 * zones {
+		if status, _ := fl.ask(try%zones, http.MethodGet, "/a/"+jobID, nil); status == http.StatusOK {
+			answered++
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	if loops := fl.crashLoops(); len(loops) >= zones/2 {
+		return broken("on %d of %d core machines the control process ended by itself %d times or more (%s); %d of %d calls about a job that was done before were answered",
+			len(loops), zones, loopEnds, strings.Join(loops, " "), answered, 4*zones)
+	}
+	return nil
+}
+
+// loopEnds is how often a process has to end by itself to count.
+const loopEnds = 3
+
+// crashLoops returns the control processes that have ended loopEnds times or more, which
+// no signal of a case has ended.
+func (fl *fleet) crashLoops() []string {
+	var loops []string
+	text, _ := os.ReadFile(filepath.Join(fl.dir, "ends")) //nolint:gosec // the script names the folder
+	for zone := 1; zone <= zones; zone++ {
+		name := fmt.Sprintf("core-%d", zone)
+		if strings.Count(string(text), name+" ended with code") >= loopEnds {
+			loops = append(loops, name)
+		}
+	}
+	return loops
 }
 
 // endReason has a worker list an end with a reason that holds a quotation mark.
 func endReason(fl *fleet) error {
+	if err := fl.ordinary("a", 20*time.Second); err != nil {
+		return err
+	}
 	if fl.trouble {
 		change := func(name, how string) string {
 			if strings.HasPrefix(name, otherID) {
@@ -150,9 +215,8 @@
 		fl.how.Store(&change)
 	}
 	step := map[string]any{"count": 1, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
-	_, _ = fl.ask(0, http.MethodPost, "/a/"+otherID, job("work_ms=1000 cpu=3500", step))
-	time.Sleep(1500 * time.Millisecond)
-	return fl.ordinary("a", 40*time.Second)
+	_, _ = fl.ask(0, http.MethodPost, "/b/"+otherID, job("work_ms=1000 cpu=3500", step))
+	return fl.checkAnswers()
 }
 
 const (
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -35,7 +35,7 @@
 	"crashed-workers": crashedWorkers,
 	"removed-queue":   removedQueue,
 	"dotted-id":       dottedID,
-	"large-schedule":  largeSchedule,
+	"many-fields":     manyFields,
 	"end-reason":      endReason,
 	"wave-restart":    waveBeforeRestart,
 }
