--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# An uncontrolled client submits one job of legal size that is made of many short fields.
+# A core machine is replaced; then another one loses its disk.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../fleet-2.sh" many-fields "$here/record.txt"
+exec "$here/../fleet-2.sh" replaced-core "$here/record.txt"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Two workers crash, each a second after a task of the same lasting job has begun there.
+# An uncontrolled client submits one job of legal size that is made of many short fields.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../fleet-2.sh" crashed-workers "$here/record.txt"
+exec "$here/../fleet-2.sh" many-fields "$here/record.txt"
--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -47,11 +47,17 @@
 EOF
 }
 
-# supervise starts a process again when it ends, until the fleet stops. The settings
-# of a restart say that the system does not start for the first time.
+# supervise starts a process again when it ends, until the fleet stops or the probe
+# creates NAME.gone: the machine is then removed for good. With NAME.wipe, the machine
+# has lost its disk. The settings of a restart say that the system does not start for the
+# first time.
 supervise() { # NAME COMMAND
 	local name=$1 command=$2
-	while [ ! -e "$dir/stop" ]; do
+	while [ ! -e "$dir/stop" ] && [ ! -e "$dir/$name.gone" ]; do
+		if [ -e "$dir/$name.wipe" ]; then
+			rm -rf "$dir/$name-data" "$dir/$name.wipe"
+			mkdir "$dir/$name-data"
+		fi
 		GREENGAGEWEIR_CONFIG="$dir/$name.json" "target/greengageweir" "$command" >>"$dir/$name.log" 2>&1 &
 		echo $! >"$dir/$name.pid"
 		wait $!
@@ -109,6 +115,14 @@
 	supervise "edge-$zone" platform-entry &
 	supervisors+=($!)
 done
+# A spare core machine starts when the probe creates its file.
+settings core-5 "$base.1.11" 1 control
+sed -i 's/"bootstrap": true/"bootstrap": false/' "$dir/core-5.json"
+(
+	while [ ! -e "$dir/stop" ] && [ ! -e "$dir/core-5.go" ]; do sleep 0.05; done
+	supervise core-5 platform-control
+) &
+supervisors+=($!)
 enforce_memory &
 supervisors+=($!)
 timeout 115 target/review-probe --case "$case_name" --fleet "$dir" --base "$base" --record "$record"
--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -34,7 +36,11 @@
 		return errNotAccepted
 	}
 	first := jobID + ".0.0.0"
-	for run := 1; run <= 2; run++ {
+	crashes := 2
+	if !fl.trouble {
+		crashes = 0
+	}
+	for run := 1; run <= crashes; run++ {
 		var mc *machine
 		if err := fl.until(20*time.Second, "next run", func() bool {
 			found, number := fl.running(first)
@@ -44,10 +50,8 @@
 			return err
 		}
 		time.Sleep(time.Second)
-		if fl.trouble {
-			fl.restart(mc, 2*time.Second)
-			time.Sleep(100 * time.Millisecond)
-		}
+		fl.restart(mc, 2*time.Second)
+		time.Sleep(100 * time.Millisecond)
 	}
 	end := now().Add(20 * time.Second)
 	for now().Before(end) {
@@ -80,7 +84,7 @@
 	if fl.trouble {
 		queues = []string{"b"}
 	}
-	if err := fl.configure(2, queues...); err != nil {
+	if err := fl.configure(0, 2, queues...); err != nil {
 		return err
 	}
 	time.Sleep(finishTime)
@@ -108,6 +112,33 @@
 	return fl.ordinary("a", 50*time.Second)
 }
 
+// sameID has two callers of two queues choose the same id.
+func sameID(fl *fleet) error {
+	if status, _ := fl.askAgain(http.MethodPost, "/a/"+jobID, job("cpu=5000", lasting(2))); status != http.StatusOK {
+		return errNotAccepted
+	}
+	id := otherID
+	if fl.trouble {
+		id = jobID
+	}
+	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
+	if status, _ := fl.askAgain(http.MethodPost, "/b/"+id, job("work_ms=1000 cpu=3500", step)); status != http.StatusOK {
+		return errNotAccepted
+	}
+	begin := now()
+	for now().Sub(begin) < finishTime+calmTime {
+		if all, _ := fl.tasks("pool-b", id); all > 0 {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, foreign := fl.ask(0, http.MethodGet, "/b/"+id, nil)
+	_, _ = fl.ask(1, http.MethodDelete, "/b/"+id, nil)
+	_, own := fl.ask(2, http.MethodGet, "/a/"+jobID, nil)
+	return broken("no task of a job that queue b accepted has begun after %s; its state is that of queue a's job: %q; a DELETE at queue b leaves that job as %q",
+		finishTime+calmTime, strings.TrimSpace(foreign), strings.TrimSpace(own))
+}
+
 // ordinary submits an ordinary job and expects it to be done within a limit. Otherwise
 // the rule is broken if nothing of the job has run for calmTime, though its pool is idle.
 func (fl *fleet) ordinary(queue string, limit time.Duration) error {
@@ -295,3 +326,62 @@
 	path, _ := accepted.Load().(string)
 	return path
 }
+
+const (
+	// overlap is how long the new core machine runs before the old one is stopped, as in
+	// the site's list; catchUp is catch_up_s.
+	overlap = 2 * time.Second
+	catchUp = 4 * time.Second
+	// settle is the time that a fresh cluster gets before the first event.
+	settle = 8 * time.Second
+)
+
+// replacedCore replaces a core machine by an empty one at another address: the new one
+// comes first, then the old one is stopped for good. Once the new one has had its time to
+// catch up, so that no machine counts as lost any more, another machine loses its disk
+// right after it has acknowledged a configuration.
+func replacedCore(fl *fleet) error {
+	if err := fl.ordinary("a", 20*time.Second); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	if fl.trouble {
+		if err := fl.mark("core-5", "go"); err != nil {
+			return err
+		}
+		begin := now()
+		time.Sleep(overlap)
+		if err := errors.Join(fl.mark("core-1", "gone"), fl.signal("core-1", syscall.SIGTERM)); err != nil {
+			return err
+		}
+		time.Sleep(catchUp + 50*time.Millisecond - now().Sub(begin))
+	}
+	if err := fl.configure(1, 2, "a", "b"); err != nil {
+		return err
+	}
+	if fl.trouble {
+		if err := errors.Join(fl.mark("core-2", "wipe"), fl.signal("core-2", syscall.SIGKILL)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * recoverTime)
+	read, answered := 0, 0
+	for try := range 4 * zones {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		status, text, err := call(ctx, http.MethodGet, fl.controls[try%zones], "", "/-/config", nil)
+		cancel()
+		fl.rec.log("operator", "GET /-/config at %s: %d, %d bytes, %v", fl.controls[try%zones], status, len(text), err)
+		if status == http.StatusOK {
+			read++
+		}
+		if status, _ := fl.ask(try%zones, http.MethodGet, "/a/"+jobID, nil); status == http.StatusOK {
+			answered++
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if read == 0 || answered == 0 {
+		return broken("%s after one disk was lost, %d of %d reads of the configuration and %d of %d calls about a job that was done were answered",
+			2*recoverTime, read, 4*zones, answered, 4*zones)
+	}
+	return nil
+}
--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -228,6 +228,12 @@
 	return syscall.Kill(pid, sig)
 }
 
+// mark creates a file that tells the script what becomes of a machine.
+func (fl *fleet) mark(name, what string) error {
+	fl.rec.log("machine", "%s: %s", name, what)
+	return os.WriteFile(filepath.Join(fl.dir, name+"."+what), nil, 0o600)
+}
+
 // config returns a configuration with the named queues: a and b, which the pools of
 // the same names serve.
 func config(version int, queues ...string) map[string]any {
@@ -302,11 +308,12 @@
 	return 0, ""
 }
 
-// configure sends a configuration until it is acknowledged.
-func (fl *fleet) configure(version int, queues ...string) error {
+// configure sends a configuration until it is acknowledged, first to one of the control
+// processes.
+func (fl *fleet) configure(first, version int, queues ...string) error {
 	for try := range 8 {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		status, _, err := call(ctx, http.MethodPut, fl.controls[try%zones], "", "/-/config", config(version, queues...))
+		status, _, err := call(ctx, http.MethodPut, fl.controls[(first+try)%zones], "", "/-/config", config(version, queues...))
 		cancel()
 		fl.rec.log("operator", "PUT /-/config version %d with queues %v: %d %v", version, queues, status, err)
 		if status == http.StatusOK {
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -36,7 +36,9 @@
 	"removed-queue":   removedQueue,
 	"dotted-id":       dottedID,
 	"many-fields":     manyFields,
+	"same-id":         sameID,
 	"end-reason":      endReason,
+	"replaced-core":   replacedCore,
 	"wave-restart":    waveBeforeRestart,
 }
 
