--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -109,7 +109,7 @@
 	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
 	_, _ = fl.ask(0, http.MethodPost, "/a/"+id, job("work_ms=1000 cpu=3500", step))
 	time.Sleep(500 * time.Millisecond)
-	return fl.ordinary("a", 50*time.Second)
+	return fl.ordinary(50*time.Second)
 }
 
 // sameID has two callers of two queues choose the same id.
@@ -141,16 +141,16 @@
 
 // ordinary submits an ordinary job and expects it to be done within a limit. Otherwise
 // the rule is broken if nothing of the job has run for calmTime, though its pool is idle.
-func (fl *fleet) ordinary(queue string, limit time.Duration) error {
+func (fl *fleet) ordinary(limit time.Duration) error {
 	step := map[string]any{"count": 8, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
-	path := "/" + queue + "/" + jobID
+	path := "/a/" + jobID
 	if status, _ := fl.askAgain(http.MethodPost, path, job("work_ms=1000 cpu=3500", step)); status != http.StatusOK {
 		return errNotAccepted
 	}
 	begin, asked, active := now(), now(), now()
 	text := ""
 	for now().Sub(begin) < limit {
-		if all, _ := fl.tasks("pool-"+queue, jobID); all > 0 {
+		if all, _ := fl.tasks("pool-a", jobID); all > 0 {
 			active = now()
 		}
 		if now().Sub(asked) > 2*time.Second {
@@ -179,7 +179,7 @@
 // manyFields has an ordinary job run, and then submits a job of legal size that is made
 // of very many short fields.
 func manyFields(fl *fleet) error {
-	if err := fl.ordinary("a", 20*time.Second); err != nil {
+	if err := fl.ordinary(20*time.Second); err != nil {
 		return err
 	}
 	times := fewTimes
@@ -233,7 +233,7 @@
 
 // endReason has a worker list an end with a reason that holds a quotation mark.
 func endReason(fl *fleet) error {
-	if err := fl.ordinary("a", 20*time.Second); err != nil {
+	if err := fl.ordinary(20*time.Second); err != nil {
 		return err
 	}
 	if fl.trouble {
@@ -341,7 +341,7 @@
 // catch up, so that no machine counts as lost any more, another machine loses its disk
 // right after it has acknowledged a configuration.
 func replacedCore(fl *fleet) error {
-	if err := fl.ordinary("a", 20*time.Second); err != nil {
+	if err := fl.ordinary(20*time.Second); err != nil {
 		return err
 	}
 	time.Sleep(settle)
