--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -109,7 +109,7 @@
 	step := map[string]any{"count": 2, "cpu": 3500, "mem_mb": 5000, "estimated_ms": 1000}
 	_, _ = fl.ask(0, http.MethodPost, "/a/"+id, job("work_ms=1000 cpu=3500", step))
 	time.Sleep(500 * time.Millisecond)
-	return fl.ordinary(50*time.Second)
+	return fl.ordinary(50 * time.Second)
 }
 
 // sameID has two callers of two queues choose the same id.
@@ -179,7 +179,7 @@
 // manyFields has an ordinary job run, and then submits a job of legal size that is made
 // of very many short fields.
 func manyFields(fl *fleet) error {
-	if err := fl.ordinary(20*time.Second); err != nil {
+	if err := fl.ordinary(20 * time.Second); err != nil {
 		return err
 	}
 	times := fewTimes
@@ -233,7 +233,7 @@
 
 // endReason has a worker list an end with a reason that holds a quotation mark.
 func endReason(fl *fleet) error {
-	if err := fl.ordinary(20*time.Second); err != nil {
+	if err := fl.ordinary(20 * time.Second); err != nil {
 		return err
 	}
 	if fl.trouble {
@@ -341,7 +341,7 @@
 // catch up, so that no machine counts as lost any more, another machine loses its disk
 // right after it has acknowledged a configuration.
 func replacedCore(fl *fleet) error {
-	if err := fl.ordinary(20*time.Second); err != nil {
+	if err := fl.ordinary(20 * time.Second); err != nil {
 		return err
 	}
 	time.Sleep(settle)
