--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -365,12 +366,17 @@
 		}
 	}
 	time.Sleep(2 * recoverTime)
+	readers := fl.controls
+	if fl.trouble {
+		readers = append(slices.Clone(fl.controls[1:]), fl.newControl)
+	}
 	read, answered := 0, 0
 	for try := range 4 * zones {
+		addr := readers[try%len(readers)]
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-		status, text, err := call(ctx, http.MethodGet, fl.controls[try%zones], "", "/-/config", nil)
+		status, text, err := call(ctx, http.MethodGet, addr, "", "/-/config", nil)
 		cancel()
-		fl.rec.log("operator", "GET /-/config at %s: %d, %d bytes, %v", fl.controls[try%zones], status, len(text), err)
+		fl.rec.log("operator", "GET /-/config at %s: %d, %d bytes, %v", addr, status, len(text), err)
 		if status == http.StatusOK {
 			read++
 		}
--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -47,7 +47,9 @@
 	trouble  bool
 	controls []string
 	fronts   []string
-	platform *http.Server
+	// newControl is the address of the core machine that is added later.
+	newControl string
+	platform   *http.Server
 	// how is passed to all workers.
 	how atomic.Pointer[func(name, how string) string]
 
@@ -57,7 +59,7 @@
 }
 
 func newFleet(rec *recorder, dir, base string, trouble bool) *fleet {
-	fl := &fleet{rec: rec, dir: dir, base: base, trouble: trouble, machines: map[string]*machine{}}
+	fl := &fleet{newControl: fmt.Sprintf("%s.1.11:%d", base, controlPort), rec: rec, dir: dir, base: base, trouble: trouble, machines: map[string]*machine{}}
 	for zone := 1; zone <= zones; zone++ {
 		fl.controls = append(fl.controls, fmt.Sprintf("%s.%d.10:%d", base, zone, controlPort))
 		fl.fronts = append(fl.fronts, fmt.Sprintf("%s.%d.20:%d", base, zone, frontPort))
