--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -329,18 +329,19 @@
 }
 
 const (
-	// overlap is how long the new core machine runs before the old one is stopped, as in
-	// the site's list; catchUp is catch_up_s.
-	overlap = 2 * time.Second
-	catchUp = 4 * time.Second
+	// overlap is how long the new core machine runs before the old one is stopped, as the
+	// bench does it: catch_up_s.
+	overlap = 4 * time.Second
+	// lossPause is the time from then until another machine loses its disk.
+	lossPause = time.Second
 	// settle is the time that a fresh cluster gets before the first event.
 	settle = 8 * time.Second
 )
 
 // replacedCore replaces a core machine by an empty one at another address: the new one
-// comes first, then the old one is stopped for good. Once the new one has had its time to
-// catch up, so that no machine counts as lost any more, another machine loses its disk
-// right after it has acknowledged a configuration.
+// comes first, then, when it has had its time to catch up, the old one is stopped for good.
+// No machine counts as lost any more. A second later, another machine loses its disk right
+// after it has acknowledged a configuration.
 func replacedCore(fl *fleet) error {
 	if err := fl.ordinary(20 * time.Second); err != nil {
 		return err
@@ -350,12 +351,11 @@
 		if err := fl.mark("core-5", "go"); err != nil {
 			return err
 		}
-		begin := now()
 		time.Sleep(overlap)
 		if err := errors.Join(fl.mark("core-1", "gone"), fl.signal("core-1", syscall.SIGTERM)); err != nil {
 			return err
 		}
-		time.Sleep(catchUp + 50*time.Millisecond - now().Sub(begin))
+		time.Sleep(lossPause)
 	}
 	if err := fl.configure(1, 2, "a", "b"); err != nil {
 		return err
