--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -254,7 +254,7 @@
 const (
 	// jobRate is within a burst of 2.6 times the site's 18.7 jobs a second.
 	jobRate  = 45
-	fillTime = 40 * time.Second
+	fillTime = 60 * time.Second
 	// restartGap is the pause between two control processes that are restarted in turn.
 	restartGap = 2 * time.Second
 	// recoverTime is recover_s.
