--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -252,8 +252,10 @@
 }
 
 const (
-	// jobRate is within a burst of 2.6 times the site's 18.7 jobs a second.
-	jobRate  = 45
+	// jobRate is below the site's 18.7 jobs a second, jobSteps between the 2 steps of its
+	// jobs on average and the 4 at most.
+	jobRate  = 18
+	jobSteps = 3
 	fillTime = 60 * time.Second
 	// restartGap is the pause between two control processes that are restarted in turn.
 	restartGap = 2 * time.Second
@@ -307,8 +309,13 @@
 // fill submits ordinary jobs for a while. It returns the path of one that was accepted,
 // "" if none was.
 func (fl *fleet) fill(span time.Duration) string {
-	first := map[string]any{"count": 1, "cpu": 500, "mem_mb": 500, "estimated_ms": 100}
-	second := map[string]any{"count": 1, "cpu": 500, "mem_mb": 500, "estimated_ms": 100, "after": []int{0}}
+	steps := make([]map[string]any, jobSteps)
+	for no := range steps {
+		steps[no] = map[string]any{"count": 1, "cpu": 500, "mem_mb": 500, "estimated_ms": 100}
+		if no > 0 {
+			steps[no]["after"] = []int{no - 1}
+		}
+	}
 	ticker := time.NewTicker(time.Second / jobRate)
 	defer ticker.Stop()
 	var accepted atomic.Value
@@ -318,7 +325,7 @@
 		<-ticker.C
 		group.Go(func() {
 			path := fmt.Sprintf("/b/%016x", number)
-			if status, _ := fl.ask(number%zones, http.MethodPost, path, job("work_ms=100 cpu=500", first, second)); status == http.StatusOK {
+			if status, _ := fl.ask(number%zones, http.MethodPost, path, job("work_ms=100 cpu=500", steps...)); status == http.StatusOK {
 				accepted.Store(path)
 			}
 		})
