fix: restore waves of which no machine has started

What callers saw: review/6, a wave that has not begun when the log is compacted, then a rolling restart of the core. Every control process panicked at each start, and no call was answered any more.

--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -133,8 +133,9 @@
 	Deadline time.Time `json:"deadline"`
 	// MaxParallel limits the machines that are under maintenance at a time.
 	MaxParallel int `json:"atOnce"`
-	// Started holds the machines whose maintenance has started.
-	Started map[string]bool `json:"begun,omitempty"`
+	// Started holds the machines whose maintenance has started. It is written also if
+	// it is empty, since earlier versions do not restore it otherwise.
+	Started map[string]bool `json:"begun"`
 }
 
 // AllStarted reports whether the maintenance of every machine has started.
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -310,8 +310,14 @@
 	return st
 }
 
-// rebuildIndexes derives the fields that a snapshot does not hold.
+// rebuildIndexes derives the fields that a snapshot does not hold, and creates the maps
+// that it leaves out.
 func (st *state) rebuildIndexes() {
+	for _, wv := range st.Waves {
+		if wv.Started == nil {
+			wv.Started = map[string]bool{}
+		}
+	}
 	st.Active = map[spec.JobID]bool{}
 	st.Suspects = map[spec.JobID]bool{}
 	if st.Lapsed == nil {
