fix: hand a voter's seat over before it stops

No leader was elected any more, for good, with three of four core machines up: 503 for each call.

Cause: a voter was replaced 2 s after its last reply, also one that was stopped with SIGTERM and knew so beforehand. In these 2 to 3 s its vote was missing, so that one more lost disk left one voter of three. Ruled out: a learner that is not admitted again; with two of three voters it is. Related: a new leader counted each voter as reachable, so that with one voter too many it could remove a sound one while another was gone.

Change: a process that is told to stop asks the leader to replace it, at most for a second. A leader removes itself: it proposes the voters without itself, does not count for their majority or its lease, steps down once they are committed, and may campaign until then. With one voter too many, a leader removes only one that is unreachable or about to stop, or any other once all have replied since its election. The random runs found that a leader which was killed before its removal was committed blocked each election; hence mayCampaign.

--- a/cmd/greengageweir/log_replica.go
+++ b/cmd/greengageweir/log_replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengageweir/internal/common/clock"
+	"greengageweir/internal/common/run"
 	"greengageweir/internal/contract/jobapi"
 	"greengageweir/internal/contract/peerapi"
 	"greengageweir/internal/job/handler"
@@ -38,6 +39,9 @@
 	// snapshotEntries is the number of log entries between snapshots. It limits the
 	// log after a snapshot to a few megabytes.
 	snapshotEntries = 4096
+	// handOverTimeout limits how long a process that is told to stop waits until it is
+	// replaced as a voter. It covers an election.
+	handOverTimeout = time.Second
 )
 
 // logReplica is a process with a replica of the job log. It may become leader.
@@ -88,7 +92,7 @@
 		Heartbeat: raftHeartbeat, Election: raftElectionTimeout, SnapshotEvery: snapshotEntries, LazyPropagation: true,
 	}
 	lr.roster = &roster.Roster{
-		Self: self.ID, IsReplica: true, Seeds: lr.Seeds, Links: lks, Log: lr.node, Voters: lr.Voters, Logger: lg,
+		Self: self.ID, IsReplica: true, Seeds: lr.Seeds, Links: lks, Log: lr.node, Voters: lr.Voters, Clock: bootClock, Logger: lg,
 	}
 	com := &scheduler.Committer{Log: lr.node, Wall: wallClock}
 	sch := &scheduler.Scheduler{
@@ -105,6 +109,18 @@
 	}
 }
 
+// handOver returns the component that has this process replaced as a voter when it is
+// told to stop. It is the last component, so that it ends before the others do.
+func (lr *logReplica) handOver() weir.Component {
+	return &run.Func{Name: "vote handover", Do: func(ctx context.Context) error {
+		<-ctx.Done()
+		handCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
+		defer cancel()
+		lr.roster.HandOver(handCtx)
+		return nil
+	}}
+}
+
 // dumpState returns the process's part of the state dump.
 func (lr *logReplica) dumpState() any {
 	return map[string]any{"log": lr.node.Status(), "holders": lr.roster.ReplicaIDs()}
@@ -126,6 +142,12 @@
 			return nil, err
 		}
 		return lr.roster.HandleDirectoryRequest(in), nil
+	case jobapi.LeaveMethod:
+		var in jobapi.LeaveRequest
+		if err := call.Decode(&in); err != nil {
+			return nil, err
+		}
+		return lr.roster.HandleLeave(ctx, in), nil
 	case jobapi.CallMethod:
 		var in jobapi.Call
 		if err := call.Decode(&in); err != nil {
--- a/internal/contract/jobapi/jobapi.go
+++ b/internal/contract/jobapi/jobapi.go
@@ -195,6 +195,25 @@
 	Voters []string `json:"voters,omitempty"`
 }
 
+// LeaveMethod is the method by which a replica of the log that is about to stop asks the
+// leader to replace it as a voter. Its request is a LeaveRequest, its reply a
+// LeaveReply. The caller repeats it until it is released.
+const LeaveMethod = "member.leave"
+
+// LeaveRequest names the process that is about to stop.
+type LeaveRequest struct {
+	ID string `json:"id"`
+}
+
+// LeaveReply is the reply to LeaveMethod.
+type LeaveReply struct {
+	// Released says that the process may stop: a committed set of voters lacks it, or
+	// no other process can replace it.
+	Released bool `json:"released,omitempty"`
+	// Replaced says that it is no voter, or no longer.
+	Replaced bool `json:"replaced,omitempty"`
+}
+
 // ResolveQueue returns the queue of a path and the job id that follows the queue's
 // prefix; the id may be empty. It reports false if there is no such queue.
 func ResolveQueue(ct catalog.Catalog, host, path string) (catalog.Queue, weir.JobID, bool) {
--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -40,7 +40,9 @@
 			return Change{Crash: &WorkerCrash{ID: testWorker(worker, 1).ID, Incarnation: incarnation, Recent: []RunKey{key}}}
 		},
 		func() Change { return Change{Forget: []spec.JobID{id}} },
-		func() Change { return Change{Wave: &Wave{Number: wave, Machines: []string{"m0", "m1"}, MaxParallel: 1}} },
+		func() Change {
+			return Change{Wave: &Wave{Number: wave, Machines: []string{"m0", "m1"}, MaxParallel: 1}}
+		},
 		func() Change {
 			op := &MachineOperation{Machine: machine, Wave: wave, Worker: weir.InstanceID(fmt.Sprint("w", worker)), Incarnation: incarnation}
 			op.Started, op.NotExecuted = rapid.Bool().Draw(rt, "started"), rapid.Bool().Draw(rt, "not executed")
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -22,6 +22,8 @@
 	"greengageweir/internal/state/replica"
 
 	"github.com/go-kit/log"
+
+	weir "greengageweir"
 )
 
 const (
@@ -31,9 +33,6 @@
 	slowQueryInterval = 1500 * time.Millisecond
 	// queryTimeout is the deadline of a directory query.
 	queryTimeout = 700 * time.Millisecond
-	// voterTimeout is the time since the last contact after which a voter is
-	// replaced: longer than a short pause, shorter than most repairs.
-	voterTimeout = 2 * time.Second
 	// voterChangeInterval is the minimum time between two membership changes.
 	voterChangeInterval = 300 * time.Millisecond
 )
@@ -58,6 +57,7 @@
 	Log Log
 	// Voters is the target number of voters.
 	Voters int
+	Clock  weir.Clock
 	Logger log.Logger
 
 	mu       sync.Mutex
@@ -65,6 +65,11 @@
 	leader   string
 	// voters are the voters that the last process with a leader named.
 	voters []string
+	// leaving holds, at the leader, when each process that is about to stop last asked
+	// to be replaced as a voter.
+	leaving map[string]time.Time
+	// stopping is set once this process is about to stop.
+	stopping bool
 }
 
 // String returns the name of the component in logs.
@@ -72,7 +77,7 @@
 
 // Default adds the seeds to the directory.
 func (ro *Roster) Default() error {
-	ro.replicas = map[string]bool{}
+	ro.replicas, ro.leaving = map[string]bool{}, map[string]time.Time{}
 	if ro.IsReplica {
 		ro.replicas[ro.Self] = true
 	}
@@ -133,6 +138,7 @@
 	ro.mu.Lock()
 	if in.Replica {
 		ro.addReplica(in.ID)
+		delete(ro.leaving, in.ID) // It has started again.
 	}
 	list := jobapi.DirectoryReply{Replicas: slices.Sorted(maps.Keys(ro.replicas))}
 	ro.mu.Unlock()
@@ -170,7 +176,7 @@
 }
 
 func (ro *Roster) queryAll(ctx context.Context) {
-	if ro.Log != nil && ro.Log.LeaderTerm() != 0 {
+	if ro.isStopping() || (ro.Log != nil && ro.Log.LeaderTerm() != 0) {
 		// The other processes query the leader, which adds them to its directory.
 		return
 	}
@@ -219,23 +225,14 @@
 // the next membership change, if one is due. It returns the time of the last
 // change.
 func (ro *Roster) reconcileVoters(ctx context.Context, changed time.Time) time.Time {
-	replicas := ro.ReplicaIDs()
+	replicas, leaving := ro.ReplicaIDs(), ro.leavingIDs()
 	err := ro.Log.WithCore(ctx, func(now time.Time, core *replica.Core) {
 		for _, id := range replicas {
 			core.AddNonVoter(now, id)
 		}
-		if now.Sub(changed) < voterChangeInterval {
-			return
-		}
-		st := core.Status()
-		next, reason := NextVoters(st.ID, core.MembersAt(st.Last).Voters, ro.caughtUpNonVoters(core, replicas), core.SinceLastContact(now), ro.Voters)
-		if next == nil {
-			return
+		if now.Sub(changed) >= voterChangeInterval && ro.proposeVoters(now, core, membershipOf(now, core, replicas, leaving, ro.Voters)) {
+			changed = now
 		}
-		changed = now
-		err := core.ChangeMembers(now, next)
-		_ = ro.Logger.Log("level", "info", "msg", "voter change proposed", "reason", reason,
-			"voters", slices.Sorted(maps.Keys(next)), "err", err)
 	})
 	if err != nil {
 		_ = ro.Logger.Log("level", "debug", "msg", "voter check failed", "err", err)
@@ -243,52 +240,18 @@
 	return changed
 }
 
-// caughtUpNonVoters returns the non-voters that may become voters, with their
-// disks.
-func (ro *Roster) caughtUpNonVoters(core *replica.Core, replicas []string) map[string]string {
-	ready := map[string]string{}
-	for _, id := range replicas {
-		if disk, ok := core.CaughtUpNonVoter(id); ok {
-			ready[id] = disk
-		}
+// proposeVoters proposes the next membership change. It reports false if there is none.
+func (ro *Roster) proposeVoters(now time.Time, core *replica.Core, ms Membership) bool {
+	next, reason := ms.Next()
+	if next == nil {
+		return false
 	}
-	return ready
-}
-
-// NextVoters returns the next set of voters and the reason of the change, nil if
-// the current set should stay. It first adds a caught-up non-voter and then
-// removes an unreachable voter, so that the set does not shrink below its target
-// size while a non-voter is available. nonVoters maps ids to disks; sinceContact
-// is the time since each process last replied to the leader.
-func NextVoters(leader string, voters, nonVoters map[string]string, sinceContact map[string]time.Duration, want int) (map[string]string, string) {
-	unreachable := ""
-	for _, id := range slices.Sorted(maps.Keys(voters)) {
-		if id != leader && sinceContact[id] > voterTimeout && (unreachable == "" || sinceContact[id] > sinceContact[unreachable]) {
-			unreachable = id
-		}
-	}
-	if len(voters) > want {
-		out := maps.Clone(voters)
-		removed := unreachable
-		if removed == "" {
-			for id := range voters {
-				if id != leader && (removed == "" || id > removed) {
-					removed = id
-				}
-			}
-		}
-		delete(out, removed)
-		return out, "more voters than wanted"
-	}
-	if len(voters) == want && unreachable == "" {
-		return nil, ""
-	}
-	for _, id := range slices.Sorted(maps.Keys(nonVoters)) {
-		if sinceContact[id] <= voterTimeout/4 {
-			out := maps.Clone(voters)
-			out[id] = nonVoters[id]
-			return out, "non-voter promoted"
-		}
+	propose := func() error { return core.ChangeMembers(now, next) }
+	if _, stays := next[ms.Leader]; !stays {
+		propose = func() error { return core.RemoveSelf(now) }
 	}
-	return nil, ""
+	err := propose()
+	_ = ro.Logger.Log("level", "info", "msg", "voter change proposed", "reason", reason,
+		"voters", slices.Sorted(maps.Keys(next)), "err", err)
+	return true
 }
--- a/internal/state/replica/append.go
+++ b/internal/state/replica/append.go
@@ -153,7 +153,7 @@
 	if !ok || !pr.accepts(msg) {
 		return
 	}
-	pr.lastContact = now
+	pr.lastContact, pr.heard = now, true
 	if msg.SentAt != 0 {
 		pr.leaseFrom = latest(pr.leaseFrom, time.Unix(0, msg.SentAt))
 	}
@@ -200,7 +200,9 @@
 // voters has stored it.
 func (co *Core) advanceCommit(now time.Time) {
 	matches := make([]uint64, 0, len(co.voters()))
-	matches = append(matches, co.stable)
+	if co.isVoter(co.ID) {
+		matches = append(matches, co.stable)
+	}
 	for id, pr := range co.progress {
 		if !co.isVoter(id) {
 			continue
@@ -217,11 +219,13 @@
 		return
 	}
 	co.commit = index
-	if co.LazyPropagation {
-		return
+	if !co.LazyPropagation {
+		// Send followers the commit index now instead of with the next heartbeat.
+		for _, id := range co.followers() {
+			co.sendAppend(now, id, true)
+		}
 	}
-	// Send followers the commit index now instead of with the next heartbeat.
-	for _, id := range co.followers() {
-		co.sendAppend(now, id, true)
+	if !co.isVoter(co.ID) && !co.committedVoter() {
+		co.becomeFollower(now, co.hard.Term, "")
 	}
 }
--- a/internal/state/replica/core.go
+++ b/internal/state/replica/core.go
@@ -70,6 +70,9 @@
 	// disk is the id of the data folder that match refers to.
 	disk        string
 	lastContact time.Time
+	// heard is set once the follower has replied to this leader. Before that,
+	// lastContact is when the leader began to count.
+	heard bool
 	// leaseFrom is when the last append was sent that the follower has replied to.
 	// The follower votes for no other member for an election timeout after it.
 	leaseFrom time.Time
@@ -134,7 +137,7 @@
 	}
 	co.leader = ""
 	co.resetElection(now)
-	if co.learner() || !co.isVoter(co.ID) {
+	if !co.mayCampaign() {
 		return
 	}
 	co.startPreVote(now)
@@ -157,7 +160,7 @@
 // quorumActive implements check-quorum: a leader steps down if it has not heard
 // from a majority for an election timeout.
 func (co *Core) quorumActive(now time.Time) bool {
-	heard := 1
+	heard := co.ownVote()
 	for id, pr := range co.progress {
 		if co.countsForMajority(id, pr) && now.Sub(pr.lastContact) < co.Election {
 			heard++
@@ -188,7 +191,7 @@
 		}
 	}
 	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
-	need := co.quorum() - 1
+	need := co.quorum() - co.ownVote()
 	switch {
 	case need == 0:
 		return co.nextHeartbeat.Add(co.leaseDuration())
--- a/internal/state/replica/elect.go
+++ b/internal/state/replica/elect.go
@@ -4,7 +4,7 @@
 
 func (co *Core) startPreVote(now time.Time) {
 	co.role = PreCandidate
-	co.votes = map[string]bool{co.ID: true}
+	co.voteForSelf()
 	co.requestVotes(MsgPreVote, co.hard.Term+1)
 	co.countPreVotes(now)
 }
@@ -12,12 +12,23 @@
 func (co *Core) startVote(now time.Time) {
 	co.role = Candidate
 	co.setTerm(co.hard.Term+1, co.ID)
-	co.votes = map[string]bool{co.ID: true}
+	co.voteForSelf()
 	co.resetElection(now)
 	co.requestVotes(MsgVote, co.hard.Term)
 	co.countVotes(now)
 }
 
+func (co *Core) voteForSelf() {
+	co.votes = map[string]bool{}
+	co.recordVote(co.ID)
+}
+
+// mayCampaign reports whether this member may be needed as the leader. A leader that
+// removed itself is, until that is committed: no other member may hold the entry.
+func (co *Core) mayCampaign() bool {
+	return !co.learner() && (co.isVoter(co.ID) || co.committedVoter())
+}
+
 func (co *Core) requestVotes(kind MessageKind, term uint64) {
 	last := co.log.last()
 	for _, id := range co.otherVoters() {
--- a/internal/state/replica/members.go
+++ b/internal/state/replica/members.go
@@ -105,6 +105,21 @@
 
 func (co *Core) quorum() int { return len(co.voters())/2 + 1 }
 
+// committedVoter reports whether this member is a voter in the latest set that it knows
+// to be committed.
+func (co *Core) committedVoter() bool {
+	_, ok := co.MembersAt(co.commit).Voters[co.ID]
+	return ok
+}
+
+// ownVote returns 1 if this member is a voter, else 0.
+func (co *Core) ownVote() int {
+	if co.isVoter(co.ID) {
+		return 1
+	}
+	return 0
+}
+
 func (co *Core) otherVoters() []string {
 	ids := co.voterIDs()
 	return slices.DeleteFunc(ids, func(id string) bool { return id == co.ID })
@@ -150,15 +165,44 @@
 // an entry of the leader's own term are committed, and KindMembers if the set
 // differs by another number or lacks the leader.
 func (co *Core) ChangeMembers(now time.Time, voters map[string]string) error {
+	if err := co.mayChangeMembers(); err != nil {
+		return err
+	}
+	if _, self := voters[co.ID]; !self || symmetricDifference(voters, co.voters()) != 1 {
+		return &Error{Op: "change members", Kind: KindMembers}
+	}
+	return co.proposeMembers(now, voters)
+}
+
+// RemoveSelf proposes the set of voters without the leader, which stops soon. Its own
+// log does not count for a majority from then on, and it steps down once the set is
+// committed (section 4.2.2 of the dissertation). Errors are those of ChangeMembers; a leader that is not a voter,
+// or the only one, gets KindMembers.
+func (co *Core) RemoveSelf(now time.Time) error {
+	if err := co.mayChangeMembers(); err != nil {
+		return err
+	}
+	if !co.isVoter(co.ID) || len(co.voters()) == 1 {
+		return &Error{Op: "change members", Kind: KindMembers}
+	}
+	voters := maps.Clone(co.voters())
+	delete(voters, co.ID)
+	return co.proposeMembers(now, voters)
+}
+
+// mayChangeMembers returns an error unless this member is the leader and its set of
+// voters and an entry of its own term are committed.
+func (co *Core) mayChangeMembers() error {
 	if co.role != Leader {
 		return &Error{Op: "change members", Kind: KindNotLeader}
 	}
 	if co.membershipHistory[len(co.membershipHistory)-1].index > co.commit || co.log.term(co.commit) != co.hard.Term {
 		return &Error{Op: "change members", Kind: KindPending}
 	}
-	if _, self := voters[co.ID]; !self || symmetricDifference(voters, co.voters()) != 1 {
-		return &Error{Op: "change members", Kind: KindMembers}
-	}
+	return nil
+}
+
+func (co *Core) proposeMembers(now time.Time, voters map[string]string) error {
 	data, err := json.Marshal(Membership{Voters: voters})
 	if err != nil {
 		return &Error{Op: "change members", Kind: KindMembers, Err: err}
@@ -197,3 +241,10 @@
 	}
 	return out
 }
+
+// HeardFrom reports whether a voter or non-voter has replied to this leader since it
+// was elected. It is true for the leader itself.
+func (co *Core) HeardFrom(id string) bool {
+	pr := co.progress[id]
+	return id == co.ID || (pr != nil && pr.heard)
+}
--- a/internal/state/replica/members_test.go
+++ b/internal/state/replica/members_test.go
@@ -159,8 +159,15 @@
 // TestRandomMembershipChanges mixes membership changes with crashes, partitions,
 // snapshots, and lost, repeated and reordered messages. The cluster checks that no
 // two members apply different entries and that no term has two leaders.
-func TestRandomMembershipChanges(t *testing.T) {
-	changes := 0
+func TestRandomMembershipChanges(t *testing.T) { runRandomMembershipChanges(t, false) }
+
+// TestRandomMembershipChangesOfLeavingLeaders is TestRandomMembershipChanges with
+// leaders that remove themselves. It guards against commits and leases that count a
+// leader which is no voter.
+func TestRandomMembershipChangesOfLeavingLeaders(t *testing.T) { runRandomMembershipChanges(t, true) }
+
+func runRandomMembershipChanges(t *testing.T, leave bool) {
+	changes, left := 0, 0
 	for run := range int64(300) {
 		seed := run / 2
 		cl := newClusterWithNonVoters(t, 5, 3, seed, run%2 == 1)
@@ -178,7 +185,11 @@
 			case draw < 88:
 				cl.addNonVoters()
 			case draw < 92:
-				if cl.changeMembers(t, cl.randomEdit) == nil {
+				if leave && cl.rng.Intn(2) == 0 {
+					if cl.removeLeader() == nil {
+						left++
+					}
+				} else if cl.changeMembers(t, cl.randomEdit) == nil {
 					changes++
 				}
 			case draw < 94 && cl.members[id].up:
@@ -200,9 +211,80 @@
 			require.Equal(t, cl.members[cl.leader()].appliedIndex, cl.members[id].appliedIndex, "seed %d: %s caught up", seed, id)
 		}
 	}
+	if leave {
+		require.Greater(t, changes+left, 200, "membership changes are frequent")
+		require.Greater(t, left, 50, "leaders remove themselves")
+		return
+	}
 	require.Greater(t, changes, 200, "membership changes are frequent")
 }
 
+// removeLeader makes the leader remove itself as a voter.
+func (cl *cluster) removeLeader() error {
+	id := cl.leader()
+	if id == "" {
+		return &Error{Op: "remove", Kind: KindNotLeader}
+	}
+	err := cl.members[id].core.RemoveSelf(cl.now)
+	cl.processReady(id, false)
+	return err
+}
+
+// TestLeaderThatRemovesItself guards against a leader whose own log counts for a
+// majority after it has left the voters, and against a cluster that can elect nobody
+// if that leader is killed before its removal is committed.
+func TestLeaderThatRemovesItself(t *testing.T) {
+	prepare := func(t *testing.T) (cl *cluster, leader string, others []string) {
+		cl = newEagerClusterWithNonVoters(t, 4, 3, 1)
+		cl.stabilize(40)
+		cl.addNonVoters()
+		cl.stabilize(10)
+		require.NoError(t, cl.changeMembers(t, func(voters map[string]string, _ *Core) { voters["c4"] = "c4-0" }))
+		cl.stabilize(10)
+		leader = cl.leader()
+		return cl, leader, slices.DeleteFunc(slices.Clone(cl.ids), func(id string) bool { return id == leader })
+	}
+	t.Run("the others take over", func(t *testing.T) {
+		cl, leader, others := prepare(t)
+		require.NoError(t, cl.removeLeader())
+		cl.deliverAll()
+		require.NotContains(t, cl.members[leader].core.Status().Voters, leader)
+		require.NotEqual(t, Leader, cl.members[leader].core.Role(), "it steps down")
+		require.ErrorContains(t, cl.members[leader].core.RemoveSelf(cl.now), string(KindNotLeader))
+		cl.stabilize(60)
+		require.Contains(t, others, cl.leader())
+	})
+	t.Run("one of three voters is no majority", func(t *testing.T) {
+		cl, leader, others := prepare(t)
+		pe := cl.members[leader]
+		cl.partitioned[others[0]], cl.partitioned[others[1]] = true, true
+		before := pe.core.Commit()
+		require.NoError(t, cl.removeLeader())
+		require.True(t, cl.propose("after the removal"))
+		cl.deliverAll()
+		require.Equal(t, before, pe.core.Commit(), "the leader does not count")
+		require.Equal(t, Leader, pe.core.Role())
+	})
+	t.Run("killed before its removal is committed", func(t *testing.T) {
+		cl, leader, others := prepare(t)
+		require.NoError(t, cl.removeLeader())
+		cl.net = nil
+		cl.crash(leader)
+		cl.stabilize(1)
+		// With one of the others gone, the remaining two are no majority of four.
+		cl.crash(others[0])
+		for range 100 {
+			cl.now = cl.now.Add(testTick)
+			for _, id := range cl.ids {
+				cl.tick(id)
+			}
+			cl.deliverAll()
+		}
+		require.NotEmpty(t, cl.leader())
+		require.True(t, cl.propose("after"))
+	})
+}
+
 func (cl *cluster) randomEdit(voters map[string]string, core *Core) {
 	id := cl.ids[cl.rng.Intn(len(cl.ids))]
 	if _, ok := voters[id]; ok {
