fix: bound the memory that accepted jobs need

Cause: the state of the tasks of all occurrences, 2.56 million here, is allocated when the job is applied, and nothing bounded it, neither for one job nor for all. Related: 450 jobs of 256 steps that name all earlier ones, 200 jobs of 6,000 times, a step that names one step 100,000 times, a log of few large entries.

Change: each job has a weight in bytes; the leader refuses one over M/48 (400) and one for which there is no room in M/12 (429, Retry-After 2), of which a quarter is kept for jobs up to 128 KiB. What replicas apply is unchanged.

--- a/cmd/greengageweir/client_limits_test.go
+++ b/cmd/greengageweir/client_limits_test.go
@@ -437,3 +437,64 @@
 	defer sy.control.checkBounds("operators, unread configurations")
 	sy.requireServes("unread configurations")
 }
+
+// jobOf returns the body of a job of steps with one task each. With after set, each
+// step comes after all earlier ones.
+func jobOf(steps, times int, after bool) string {
+	var body strings.Builder
+	body.WriteString(`{"spec":"a","steps":[`)
+	for ix := range steps {
+		before := ""
+		if after && ix > 0 {
+			for no := range ix {
+				before += fmt.Sprintf(",%d", no)
+			}
+			before = `,"after":[` + before[1:] + "]"
+		}
+		if ix > 0 {
+			body.WriteString(",")
+		}
+		fmt.Fprintf(&body, `{"count":1,"cpu":1,"estimated_ms":100%s}`, before)
+	}
+	fmt.Fprintf(&body, `],"repeat_count":%d,"start_at_ms":4000000000000,"interval_ms":1000}`, times)
+	return body.String()
+}
+
+// TestJobsOfManyTasks guards against jobs of legal size whose state takes each control
+// process over its memory, at once or together, also when it starts again.
+func TestJobsOfManyTasks(t *testing.T) {
+	cases := map[string]struct {
+		body string
+		jobs int
+	}{
+		"one of many steps and times": {jobOf(256, 10_000, false), 1},
+		"many of some times":          {jobOf(16, 200, false), 200},
+		"many of many dependences":    {jobOf(256, 0, true), 450},
+		"many of many times":          {jobOf(1, 6000, false), 200},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			sy := startSystem(t)
+			accepted := 0
+			for no := range tc.jobs {
+				if sy.request(http.MethodPost, sy.frontAddr, fmt.Sprintf("%s%016x", routePath, 1<<32+no), tc.body) == http.StatusOK {
+					accepted++
+				}
+			}
+			t.Logf("%d of %d jobs accepted", accepted, tc.jobs)
+			sy.requireServes(name)
+			sy.control.checkBounds(name)
+			sy.restartControl()
+			sy.requireServes(name + ", restarted")
+			sy.control.checkBounds(name + ", restarted")
+		})
+	}
+}
+
+// restartControl kills the control process and starts it again.
+func (sy *system) restartControl() {
+	args := sy.control.cmd.Args[1:]
+	require.NoError(sy.t, sy.control.cmd.Process.Kill())
+	<-sy.control.ended
+	sy.control = startProcess(sy.t, args...)
+}
--- a/cmd/greengageweir/jobs.go
+++ b/cmd/greengageweir/jobs.go
@@ -99,7 +99,7 @@
 	ctx := signalContext(lg, func() string { return "no synced data" })
 	lr := &logReplica{
 		PeerAddr: jc.PeerAddr, Zone: jc.Zone, Token: token, Seeds: jc.Seeds, DataDir: jc.DataDir, Voters: 2*jc.Tolerance + 1,
-		Retention: jc.Retention, LeaseHolder: jc.PeerAddr, Workers: taskapi.NewClient(clock.BootTime{}), Logger: lg,
+		Retention: jc.Retention, MemoryMB: jc.MemoryMB, LeaseHolder: jc.PeerAddr, Workers: taskapi.NewClient(clock.BootTime{}), Logger: lg,
 	}
 	limits := jc.process(lg)
 	lr.MaxLinks = limits.MaxLinks()
--- a/cmd/greengageweir/log_replica.go
+++ b/cmd/greengageweir/log_replica.go
@@ -39,6 +39,10 @@
 	// snapshotEntries is the number of log entries between snapshots. It limits the
 	// log after a snapshot to a few megabytes.
 	snapshotEntries = 4096
+	// stateShare is the divisor of the machine's memory that the state of the jobs may
+	// need, and the log since the last snapshot. A snapshot needs some times as much
+	// while it is saved, sent or restored.
+	stateShare = 12
 	// handOverTimeout limits how long a process that is told to stop waits until it is
 	// replaced as a voter. It covers an election.
 	handOverTimeout = time.Second
@@ -53,6 +57,8 @@
 	DataDir   string
 	Voters    int
 	Retention time.Duration
+	// MemoryMB is the machine's memory in MiB; 0 selects the defaults of the limits.
+	MemoryMB int
 	// OnLeadershipChange is called when this process gains or loses leadership; it
 	// may be nil.
 	OnLeadershipChange func(leads bool)
@@ -85,11 +91,12 @@
 	self := peer.Identity{ID: lr.PeerAddr, Role: "control", Zone: lr.Zone}
 	bootClock, wallClock, lg := clock.BootTime{}, clock.Wall{}, lr.Logger
 	lks := &links.Links{Self: self, Token: lr.Token, Logger: lg}
+	stateBytes := int64(lr.MemoryMB) * mebibyte / stateShare
 	str := store.New()
 	str.Clock = bootClock
 	lr.node = &node.Node{
 		ID: self.ID, Dir: lr.DataDir, StateMachine: str, Send: lks.Send, Clock: bootClock, Logger: lg,
-		Heartbeat: raftHeartbeat, Election: raftElectionTimeout, SnapshotEvery: snapshotEntries, LazyPropagation: true,
+		Heartbeat: raftHeartbeat, Election: raftElectionTimeout, SnapshotEvery: snapshotEntries, SnapshotBytes: stateBytes, LazyPropagation: true,
 	}
 	lr.roster = &roster.Roster{
 		Self: self.ID, IsReplica: true, Seeds: lr.Seeds, Links: lks, Log: lr.node, Voters: lr.Voters, Clock: bootClock, Logger: lg,
@@ -101,7 +108,7 @@
 	}
 	str.OnApplied = sch.Wake
 	lr.handler = &handler.Handler{
-		Self: self.ID, Store: str, Committer: com, Scheduler: sch, Leader: lr.node, Links: lks, Clock: bootClock, Wall: wallClock, Logger: lg, Backlogs: &handler.Backlogs{},
+		Self: self.ID, Store: str, Committer: com, Scheduler: sch, Leader: lr.node, Links: lks, Clock: bootClock, Wall: wallClock, Logger: lg, Backlogs: &handler.Backlogs{}, StateLimit: &handler.StateLimit{Bytes: stateBytes},
 	}
 	lr.components = []weir.Component{
 		lks, lr.node, com, sch, lr.roster, &teammetrics.Recorder{Store: str, Leads: sch.Ready},
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -75,8 +75,8 @@
 		PeerAddr: st.PeerAddress(), Zone: string(st.Zone), Token: peerToken, Seeds: st.SeedPeers(), DataDir: st.DataDir,
 		Voters: 2*st.Tolerance.Machines + 1, Retention: time.Duration(st.Bounds.RetentionS*float64(time.Second)) + retentionMargin,
 		LeaseHolder: st.Name, MachineOrderDelay: st.MachineOrderDelay() + machineOrderMargin,
-		MaxLease: st.MaxLease(),
-		Workers:  platform.NewWorkerClient(clock.BootTime{}), Logger: lg,
+		MaxLease: st.MaxLease(), MemoryMB: st.Limits.MemoryMB,
+		Workers: platform.NewWorkerClient(clock.BootTime{}), Logger: lg,
 	}
 	if st.Cloud.Address != "" {
 		lr.Machines = platform.NewMachineClient(st.Cloud.Address, clock.BootTime{})
--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -61,6 +61,8 @@
 	// Backlogs keeps what decisions about early refusals need; nil refuses no submit
 	// for the backlog of its team.
 	Backlogs *Backlogs
+	// StateLimit limits the memory that the jobs need; nil does not.
+	StateLimit *StateLimit
 }
 
 // Handle implements jobapi.Handler.
@@ -268,6 +270,11 @@
 	if refused := sv.refuseForBacklog(&jb); refused != nil {
 		return *refused
 	}
+	release, refused := sv.reserveState(&jb)
+	if refused != nil {
+		return *refused
+	}
+	defer release()
 	if _, failed := sv.commit(ctx, store.Change{Submit: &jb}); failed != nil {
 		return *failed
 	}
--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -52,8 +52,10 @@
 	if now.Sub(rl.reportedAt) < loadLogInterval {
 		return
 	}
+	weight := int64(0)
+	sc.Store.Read(func(rd store.Reader) { weight = rd.Weight() })
 	_ = sc.Logger.Log("level", "info", "msg", "scheduler load", "rounds", rl.rounds, "busy", rl.total.String(),
-		"longest", rl.longest.String(), "sessions", len(ls.sessions))
+		"longest", rl.longest.String(), "sessions", len(ls.sessions), "stateBytes", weight)
 	ls.rounds = roundLoad{reportedAt: now}
 	sc.Store.Read(func(rd store.Reader) {
 		jobs := sc.pendingJobs(rd)
--- a/internal/job/spec/spec.go
+++ b/internal/job/spec/spec.go
@@ -272,6 +272,8 @@
 		return invalid("step %d has a negative need", ix)
 	case st.MaxPerWorker < 0 || st.MaxUnavailable < 0:
 		return invalid("step %d has a negative limit", ix)
+	case len(st.After) > ix:
+		return invalid("step %d is after %d steps, there are %d earlier ones", ix, len(st.After), ix)
 	}
 	for _, before := range st.After {
 		if before < 0 || before >= ix {
--- a/internal/job/store/accepted_job_test.go
+++ b/internal/job/store/accepted_job_test.go
@@ -37,6 +37,8 @@
 		"over the limit":                {spec.Job{Steps: []spec.Step{step(spec.MaxTasks), step(1)}}, false},
 		"counts overflow to a negative": {spec.Job{Steps: []spec.Step{step(math.MaxInt), step(2)}}, false},
 		"counts overflow to zero":       {spec.Job{Steps: []spec.Step{step(1 << 62), step(1 << 62), step(1 << 62), step(1 << 62)}}, false},
+		"after each earlier step":       {spec.Job{Steps: []spec.Step{step(1), step(1), {Count: 1, After: []int{0, 1}}}}, true},
+		"after a step many times over":  {spec.Job{Steps: []spec.Step{step(1), step(1), {Count: 1, After: []int{0, 0, 0}}}}, false},
 		"starts in the year 9999":       {spec.Job{Steps: one, OccurrenceCount: 1, StartAt: time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC)}, true},
 		"starts after the year 9999":    {spec.Job{Steps: one, OccurrenceCount: 1, StartAt: time.UnixMilli(math.MaxInt64)}, false},
 		"starts before the year 0":      {spec.Job{Steps: one, OccurrenceCount: 1, StartAt: time.UnixMilli(math.MinInt64)}, false},
--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -69,6 +69,7 @@
 			got, err := restored.sr.Snapshot()
 			require.NoError(rt, err)
 			require.JSONEq(rt, string(want), string(got))
+			require.Equal(rt, fx.sr.st.Weight, restored.sr.st.Weight)
 		}
 	})
 }
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -100,6 +100,8 @@
 
 	// left is the unfinished work that TeamJobs counts for the job.
 	left spec.Work
+	// weight is what the state's Weight counts for the job.
+	weight int64
 }
 
 // Live reports whether tasks of a step go on: those of a job that has not ended and,
@@ -240,6 +242,8 @@
 	TeamLoads map[weir.InstanceID][]TeamLoad `json:"-"`
 	// TeamJobs holds the work of each team with active jobs.
 	TeamJobs map[weir.TeamName]*teamJobs `json:"-"`
+	// Weight is the sum of the weights of all jobs, in bytes.
+	Weight int64 `json:"-"`
 	// WorkerRevision counts the changes of workers that this replica applied.
 	WorkerRevision uint64 `json:"-"`
 }
@@ -330,7 +334,9 @@
 	st.TeamLoads = map[weir.InstanceID][]TeamLoad{}
 	st.TeamJobs = map[weir.TeamName]*teamJobs{}
 	st.rebuildQueues()
+	st.Weight = 0
 	for id, js := range st.Jobs {
+		st.setWeight(js, currentWeight(js))
 		if js.Occurrences != nil {
 			st.Active[id] = true
 		}
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -233,6 +233,7 @@
 	}
 	st.Jobs[jb.ID] = js
 	st.Active[jb.ID] = true
+	st.setWeight(js, currentWeight(js))
 	st.setWorkLeft(js, js.estimatedWorkLeft())
 	st.addToQueue(js)
 	return applied
@@ -269,6 +270,7 @@
 	js.Occurrences = nil
 	js.Spec.Text = ""
 	js.Spec.Steps = nil
+	st.setWeight(js, currentWeight(js))
 	delete(st.Active, js.Spec.ID)
 	delete(st.Suspects, js.Spec.ID)
 }
@@ -276,6 +278,7 @@
 func (st *state) applyForget(ids []spec.JobID) Result {
 	for _, id := range ids {
 		if js := st.Jobs[id]; js != nil && js.Phase.Terminal() && js.Placed == 0 {
+			st.setWeight(js, 0)
 			delete(st.Jobs, id)
 		}
 	}
--- a/internal/job/store/store_test.go
+++ b/internal/job/store/store_test.go
@@ -328,8 +328,9 @@
 }
 
 func checkState(t require.TestingT, st *state) {
-	placed := map[weir.InstanceID]int{}
+	placed, weight := map[weir.InstanceID]int{}, int64(0)
 	for id, js := range st.Jobs {
+		weight += currentWeight(js)
 		count := 0
 		for oc, steps := range js.Occurrences {
 			for sp := range steps {
@@ -354,6 +355,7 @@
 		require.Equal(t, count, js.Placed)
 		require.Equal(t, js.Occurrences != nil, st.Active[id])
 	}
+	require.Equal(t, weight, st.Weight)
 	for id, runs := range st.Runs {
 		require.Len(t, runs, placed[id])
 		load, teams := WorkerLoad{}, map[weir.TeamName]TeamLoad{}
--- a/internal/state/node/node.go
+++ b/internal/state/node/node.go
@@ -52,6 +52,7 @@
 	// batchSlots bounds the proposals and messages that share one sync.
 	batchSlots           = 1024
 	defaultSnapshotEvery = 8192
+	defaultSnapshotBytes = 64 << 20
 )
 
 // StateMachine applies the committed commands. All members apply the same
@@ -80,6 +81,9 @@
 	Heartbeat     time.Duration
 	Election      time.Duration
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of the log in bytes after which a snapshot is saved
+	// before SnapshotEvery entries are applied.
+	SnapshotBytes int64
 	// LazyPropagation sets the field of the same name of replica.Core.
 	LazyPropagation bool
 
@@ -91,7 +95,9 @@
 	coreFuncs chan func(now time.Time, core *replica.Core)
 	waiters   map[uint64]waiter
 	lastSnap  uint64
-	once      sync.Once
+	// snapSize is the size of the log file when the last snapshot was saved.
+	snapSize int64
+	once     sync.Once
 
 	mu     sync.Mutex
 	status replica.Status
@@ -128,6 +134,9 @@
 	if nd.SnapshotEvery == 0 {
 		nd.SnapshotEvery = defaultSnapshotEvery
 	}
+	if nd.SnapshotBytes == 0 {
+		nd.SnapshotBytes = defaultSnapshotBytes
+	}
 	if nd.Logger == nil {
 		nd.Logger = log.NewNopLogger()
 	}
@@ -277,7 +286,7 @@
 		if err := nd.disk.SaveSnapshot(nd.hard, *rd.Snapshot, nil); err != nil {
 			return err
 		}
-		nd.lastSnap = rd.Snapshot.Index
+		nd.lastSnap, nd.snapSize = rd.Snapshot.Index, nd.disk.Size()
 		if err := nd.StateMachine.Restore(rd.Snapshot.Index, rd.Snapshot.Data); err != nil {
 			return &Error{Op: "restore", Kind: KindStorage, Err: err}
 		}
@@ -313,11 +322,12 @@
 	}
 }
 
-// compact saves a snapshot once SnapshotEvery entries were applied since the last.
+// compact saves a snapshot once SnapshotEvery entries were applied, or SnapshotBytes
+// written, since the last.
 func (nd *Node) compact() error {
 	st := nd.core.Status()
 	applied := nd.core.Applied()
-	if applied-nd.lastSnap < nd.SnapshotEvery {
+	if applied == nd.lastSnap || (applied-nd.lastSnap < nd.SnapshotEvery && nd.disk.Size()-nd.snapSize < nd.SnapshotBytes) {
 		return nil
 	}
 	data, err := nd.StateMachine.Snapshot()
@@ -329,7 +339,7 @@
 	if err := nd.disk.SaveSnapshot(nd.hard, snap, nd.core.Tail()); err != nil {
 		return err
 	}
-	nd.lastSnap = applied
+	nd.lastSnap, nd.snapSize = applied, nd.disk.Size()
 	_ = nd.Logger.Log("level", "info", "msg", "snapshot saved", "index", applied, "bytes", len(data), "last", st.Last)
 	return nil
 }
--- a/internal/state/node/node_test.go
+++ b/internal/state/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -58,6 +59,8 @@
 	nodes map[string]*Node
 	sms   map[string]*recorder
 	stops map[string]func()
+	// snapshotBytes sets Node.SnapshotBytes of nodes that are started later.
+	snapshotBytes int64
 }
 
 func newCluster(t testing.TB, size int) *cluster {
@@ -81,7 +84,7 @@
 	sm := &recorder{}
 	nd := &Node{
 		ID: id, Members: cl.ids, Dir: filepath.Join(cl.dir, folder), StateMachine: sm, Clock: clock.System{},
-		Send: cl.send, SnapshotEvery: 200,
+		Send: cl.send, SnapshotEvery: 200, SnapshotBytes: cl.snapshotBytes,
 	}
 	require.NoError(cl.t, nd.Default())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -183,3 +186,19 @@
 		})
 	}
 }
+
+// TestSnapshotOfLargeEntries guards against a log that grows without a bound while its
+// entries are large and few.
+func TestSnapshotOfLargeEntries(t *testing.T) {
+	cl := newCluster(t, 1)
+	cl.stop("c0")
+	cl.snapshotBytes = 1 << 20
+	cl.start("c0", "c0")
+	lead := cl.leader()
+	for count := range 100 {
+		_, err := lead.Propose(context.Background(), bytes.Repeat([]byte("a"), 50_000))
+		require.NoError(t, err)
+		require.Less(t, lead.Status().Last-lead.Status().First, uint64(60), "after %d entries", count)
+	}
+	require.Greater(t, lead.Status().First, uint64(40))
+}
