fix: refuse calls for a worker's former incarnation

Cause, shown in the model: a call names a worker by its id, which its next incarnation has again. All sessions of a term used one fencing token, so that late calls for the former incarnation took effect: an acknowledgement forgot ends that nobody had seen, a lease on the former clock ran for 10 s of which the leader did not know, a start was carried out. That another incarnation had answered was known to the leader alone. Ruled out: a wrong name in the header.

Change: each session has a higher token than those before it with the same id, and goes on with the next one when another incarnation answers. The longest lease is counted from the first answer, and without one from the end of the 12 s for which orders may be under way. A restart that only an answer shows is committed. The random sequences deliver late orders to the next incarnation.

--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -56,6 +56,9 @@
 	// grant leases: it stops when it has not heard from a majority for an
 	// election timeout, and a reply may have been in flight.
 	priorLeaderGrace = time.Second
+	// maxOrderDelay is how long a worker may take to carry out an order that it does
+	// not answer.
+	maxOrderDelay = 12 * time.Second
 	// defaultMaxLease is used if MaxLease is not set.
 	defaultMaxLease = 10 * time.Second
 )
@@ -123,6 +126,8 @@
 	// reflect.
 	workersRevision uint64
 	sessions        map[weir.InstanceID]*workerSession
+	// sessionCounts counts the sessions that were opened with each id.
+	sessionCounts map[weir.InstanceID]uint64
 	// committingStarts is set while the run starts in pendingStarts are being
 	// committed.
 	committingStarts bool
@@ -158,6 +163,9 @@
 	// removalInFlight is set while the end of this incarnation is being
 	// committed.
 	removalInFlight bool
+	// restartRecorded is set once it is, or is being, committed that another
+	// incarnation has answered.
+	restartRecorded bool
 	// announcedAt is when the worker last announced itself, sequence the number
 	// of that announcement.
 	announcedAt time.Time
@@ -387,14 +395,15 @@
 	ws := &workerSession{worker: wk, cancel: cancel, announcedAt: now}
 	ws.session = &session.Session{
 		Worker: weir.WorkerIncarnation{ID: wk.ID, Incarnation: wk.Incarnation, Address: wk.Address},
-		Token:  ls.term, Lease: sc.Lease, MaxLease: sc.MaxLease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
+		Token:  ls.nextToken(wk.ID), Restarted: wk.Restarted, Lease: sc.Lease, MaxLease: sc.MaxLease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
 		PriorLeaseExpiry: ls.since.Add(priorLeaderGrace + sc.Lease + sc.Lease/20),
 	}
 	if wk.Restarted {
 		// Orders to the incarnation before may have reached this one. Their leases are
 		// in terms of the earlier clock, which was ahead, so that this one may have
-		// taken the longest lease that it accepts.
-		ws.session.PriorLeaseExpiry = now.Add(priorLeaderGrace + sc.MaxLease + sc.MaxLease/20)
+		// taken the longest lease that it accepts. Until it has answered, it may do so
+		// for as long as such orders are under way.
+		ws.session.PriorLeaseExpiry = now.Add(sc.lateOrders(wk) + priorLeaderGrace + sc.MaxLease + sc.MaxLease/20)
 	}
 	ws.session.OnChange = func() { sc.markDirty(ws) }
 	if err := ws.session.Default(); err != nil {
@@ -408,6 +417,42 @@
 	return ws
 }
 
+// lateOrders returns how long orders to a worker's former incarnation may still be
+// under way.
+func (sc *Scheduler) lateOrders(wk store.Worker) time.Duration {
+	if wk.RestartedAt.IsZero() {
+		return 0
+	}
+	return min(max(maxOrderDelay-sc.Wall.Now().Sub(wk.RestartedAt), 0), maxOrderDelay)
+}
+
+// tokenBits is the number of bits of a fencing token that count the leader's sessions
+// with one id. The bits above them hold the term.
+const tokenBits = 16
+
+// nextToken returns the fencing token of a new session with a worker's id.
+func (ls *leaderState) nextToken(id weir.InstanceID) uint64 {
+	if ls.sessionCounts == nil {
+		ls.sessionCounts = map[weir.InstanceID]uint64{}
+	}
+	ls.sessionCounts[id] = min(ls.sessionCounts[id]+session.TokensPerSession, 1<<tokenBits-session.TokensPerSession)
+	return ls.term<<tokenBits | ls.sessionCounts[id]
+}
+
+// recordRestart commits that another incarnation of a worker has answered, so that a
+// later leader knows that it may hold the longest lease.
+func (sc *Scheduler) recordRestart(ws *workerSession) {
+	if ws.restartRecorded || !ws.session.OtherIncarnation() {
+		return
+	}
+	change := store.Change{Restart: &store.WorkerRestart{ID: ws.worker.ID, Incarnation: ws.worker.Incarnation}}
+	ws.restartRecorded = sc.Committer.Submit([]store.Change{change}, func(_ []store.Result, err error) {
+		sc.mu.Lock()
+		ws.restartRecorded = err == nil
+		sc.mu.Unlock()
+	})
+}
+
 // markDirty triggers a round that reconciles a worker. It takes no lock, since a
 // session also calls it while the scheduler holds its own.
 func (sc *Scheduler) markDirty(ws *workerSession) {
@@ -432,6 +477,7 @@
 			placed = append(placed, session.PlacedRun{Key: key, Wanted: js.Wants(key) && !ls.evicted[key]})
 		}
 	})
+	sc.recordRestart(ws)
 	out := ws.session.Reconcile(now, placed)
 	for key, reason := range out.Refused {
 		sc.handleRefusal(ls, id, key, reason, now)
--- a/internal/job/scheduler/simulation_test.go
+++ b/internal/job/scheduler/simulation_test.go
@@ -33,6 +33,9 @@
 	// earlier one ordered about; an order can be under way for simOrderLife.
 	simOrderDelay = 3500 * time.Millisecond
 	simOrderLife  = 1500 * time.Millisecond
+	// simLateOrders is how long an order can be under way to a worker that starts again
+	// under its id meanwhile.
+	simLateOrders = maxOrderDelay
 	simAttempts   = 3
 )
 
@@ -441,9 +444,7 @@
 	var resp weir.OrderResponse
 	sent := cl.clk.Now()
 	err := cl.deliver(time.Hour, func() {
-		// A delayed order that reaches the next incarnation under the same id cannot
-		// be told from others, there or here.
-		if wk := cl.find(inc); wk != nil && (wk.Incarnation == inc.Incarnation || sent.Equal(cl.clk.Now())) {
+		if wk := cl.find(inc); wk != nil && (wk.Incarnation == inc.Incarnation || cl.clk.Now().Sub(sent) <= simLateOrders) {
 			resp = do(wk)
 		}
 	})
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -25,6 +25,7 @@
 	Join    *Worker           `json:"join,omitempty"`
 	Leave   *WorkerLeave      `json:"leave,omitempty"`
 	Crash   *WorkerCrash      `json:"crash,omitempty"`
+	Restart *WorkerRestart    `json:"restart,omitempty"`
 	Start   *RunStart         `json:"st,omitempty"`
 	End     *RunEnd           `json:"end,omitempty"`
 	Forget  []spec.JobID      `json:"forget,omitempty"`
@@ -51,15 +52,18 @@
 	// Sequence increases with each announcement of an incarnation, so that a
 	// delayed announcement is recognized as outdated.
 	Sequence int64 `json:"seq,omitempty"`
-	// Restarted says that an earlier incarnation had the same id. It is set by the
-	// state, not by announcements.
+	// Restarted says that an earlier incarnation had the same id, or that a later one
+	// has answered. It is set by the state, not by announcements.
 	Restarted bool `json:"restarted,omitempty"`
+	// RestartedAt is when that became known; it is zero for restarts that an earlier
+	// version recorded.
+	RestartedAt time.Time `json:"restartedAt,omitzero"`
 }
 
 // EqualIgnoringSequence reports whether two announcements describe a worker
 // alike in all but the sequence number.
 func (wk Worker) EqualIgnoringSequence(other Worker) bool {
-	wk.Sequence, wk.Restarted = other.Sequence, other.Restarted
+	wk.Sequence, wk.Restarted, wk.RestartedAt = other.Sequence, other.Restarted, other.RestartedAt
 	return wk == other
 }
 
@@ -90,6 +94,14 @@
 	Unconfirmed []RunKey `json:"unconfirmed,omitempty"`
 }
 
+// WorkerRestart says that another incarnation has answered calls to a worker, which
+// has not announced itself yet. It may have taken orders that were meant for the one
+// that is registered.
+type WorkerRestart struct {
+	ID          weir.InstanceID `json:"id"`
+	Incarnation int64           `json:"born"`
+}
+
 // RunStart records the intent to start a run. It is committed before the order
 // is sent, so that every later leader knows on which worker the run may be.
 type RunStart struct {
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -165,6 +165,8 @@
 		return st.applyLeave(at, ch.Leave)
 	case ch.Crash != nil:
 		return st.applyCrash(at, ch.Crash)
+	case ch.Restart != nil:
+		return st.applyRestart(at, ch.Restart)
 	case ch.Start != nil:
 		return st.applyStart(at, ch.Start)
 	case ch.End != nil:
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -32,7 +32,14 @@
 		st.reassignRuns(old, wk)
 	}
 	fresh := *wk
-	fresh.Restarted = old != nil && (old.Restarted || old.Incarnation != wk.Incarnation)
+	switch {
+	case old == nil:
+		fresh.Restarted, fresh.RestartedAt = false, time.Time{}
+	case old.Incarnation != wk.Incarnation:
+		fresh.Restarted, fresh.RestartedAt = true, at
+	default:
+		fresh.Restarted, fresh.RestartedAt = old.Restarted, old.RestartedAt
+	}
 	st.Workers[wk.ID] = &fresh
 	st.WorkerRevision++
 	return st.recordCrash(at, st.takeLapsed(wk))
@@ -48,6 +55,18 @@
 	}
 }
 
+func (st *state) applyRestart(at time.Time, rs *WorkerRestart) Result {
+	wk := st.Workers[rs.ID]
+	if wk == nil || wk.Incarnation != rs.Incarnation {
+		return refused("not the current incarnation")
+	}
+	fresh := *wk
+	fresh.Restarted, fresh.RestartedAt = true, at
+	st.Workers[rs.ID] = &fresh
+	st.WorkerRevision++
+	return applied
+}
+
 func (st *state) applyLeave(at time.Time, lv *WorkerLeave) Result {
 	wk := st.Workers[lv.ID]
 	if wk == nil || wk.Incarnation != lv.Incarnation {
--- a/internal/task/session/next_incarnation_test.go
+++ b/internal/task/session/next_incarnation_test.go
@@ -57,3 +57,40 @@
 	clk.Advance(500 * time.Millisecond)
 	require.True(t, ss.LeaseExpired(clk.Now()))
 }
+
+// fencingWorker answers a renewal with a clock that is behind while a start order is
+// under way, and refuses the order for its token.
+type fencingWorker struct {
+	scriptedWorker
+
+	session *Session
+	tokens  []uint64
+}
+
+func (fw *fencingWorker) Start(ctx context.Context, _ weir.WorkerIncarnation, order weir.StartOrder) (weir.OrderResponse, error) {
+	fw.tokens = append(fw.tokens, order.Token)
+	fw.reports = []weir.WorkerReport{{Clock: time.Minute, Incarnation: 1}, {Clock: time.Minute, Incarnation: 1}}
+	fw.session.RenewOnce(ctx)
+	fw.session.RenewOnce(ctx)
+	return weir.OrderResponse{Clock: time.Minute, Refusal: weir.RefusedFenced}, nil
+}
+
+// TestStartFencedByOwnToken guards against a task that waits for good because its start
+// order was refused for a token that the same session has raised meanwhile.
+func TestStartFencedByOwnToken(t *testing.T) {
+	fw := &fencingWorker{scriptedWorker: scriptedWorker{reports: []weir.WorkerReport{{Clock: time.Hour, Incarnation: 1}}}}
+	ss := &Session{
+		Worker: weir.WorkerIncarnation{ID: "w", Incarnation: 1}, Token: 8, Lease: 3 * time.Second, MaxLease: 10 * time.Second,
+		Leadership: alwaysLeader{}, Clock: clock.NewManual(time.Unix(1_800_000_000, 0)), OnChange: func() {}, Workers: fw,
+	}
+	fw.session = ss
+	require.NoError(t, ss.Default())
+	ss.RenewOnce(t.Context())
+	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+	ss.Start(weir.StartOrder{RunKey: key})
+	require.True(t, ss.SendNext(t.Context()))
+	require.Equal(t, []uint64{8}, fw.tokens)
+	require.Equal(t, uint64(9), ss.token())
+	out := ss.Reconcile(ss.Clock.Now(), []PlacedRun{{Key: key, Wanted: true}})
+	require.Contains(t, out.Refused, key)
+}
--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -45,7 +45,7 @@
 	sentAt := ss.Clock.Now()
 	if !skip {
 		rn.sentAt = sentAt
-		order.Token = ss.Token
+		order.Token = ss.tokenLocked()
 		order.Until = ss.grantLease(sentAt)
 	}
 	ss.mu.Unlock()
@@ -65,6 +65,10 @@
 	if err == nil {
 		rn.answeredAt = now
 		rn.refusal = ans.Refusal
+		if ans.Refusal == weir.RefusedFenced && order.Token < ss.tokenLocked() {
+			// The session has used a higher token since; the run never started.
+			rn.refusal = weir.RefusedStale
+		}
 		ss.updateClock(ans.Clock, sentAt)
 		rn.byNext = ss.otherIncarnation
 	} else {
@@ -96,7 +100,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		ans, err := ss.Workers.Stop(callCtx, ss.Worker, key, ss.Token)
+		ans, err := ss.Workers.Stop(callCtx, ss.Worker, key, ss.token())
 		if err == nil && ans.Refusal == weir.RefusedNone {
 			ss.mu.Lock()
 			rn.stopAckedAt = ss.Clock.Now()
@@ -121,7 +125,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		if _, err := ss.Workers.Throttle(callCtx, ss.Worker, key, percent, ss.Token); err != nil {
+		if _, err := ss.Workers.Throttle(callCtx, ss.Worker, key, percent, ss.token()); err != nil {
 			_ = ss.Logger.Log("level", "warn", "msg", "speed limit not confirmed", "task", key.Task, "run", key.Run,
 				"worker", ss.Worker.ID, "percent", percent, "err", err)
 		}
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -31,7 +31,7 @@
 		return false, false
 	}
 	sentAt := ss.Clock.Now()
-	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.acknowledgement(), Wait: renewWait}
+	order := weir.RenewOrder{Token: ss.tokenLocked(), Acknowledged: ss.acknowledgement(), Wait: renewWait}
 	first := ss.clockSentAt.IsZero()
 	switch {
 	case first || !ss.unreachableSince.IsZero():
@@ -66,7 +66,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	ss.mu.Lock()
-	order := weir.RenewOrder{Token: ss.Token, Acknowledged: ss.acknowledgement()}
+	order := weir.RenewOrder{Token: ss.tokenLocked(), Acknowledged: ss.acknowledgement()}
 	ss.mu.Unlock()
 	sentAt := ss.Clock.Now()
 	rep, err := ss.Workers.Renew(callCtx, ss.Worker, order)
@@ -111,6 +111,11 @@
 		// that was requested before may be of the incarnation before.
 		ss.otherIncarnation, ss.clockSentAt = false, time.Time{}
 	}
+	if ss.Restarted && !ss.answered {
+		// It may have taken the longest lease from a late order right before.
+		ss.extendLeaseExpiry(ss.Clock.Now().Add(slowestSpan(ss.MaxLease)))
+	}
+	ss.answered = true
 	ss.forgottenEnd = max(ss.forgottenEnd, acknowledged)
 	if !ss.unreachableSince.IsZero() {
 		_ = ss.Logger.Log("level", "info", "msg", "worker reachable again", "worker", ss.Worker.ID)
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -61,6 +61,8 @@
 	// crashSpan is how long before a worker falls silent a run may have been
 	// started that crashed it. A silent worker is noticed within a renewal.
 	crashSpan = 2 * time.Second
+	// TokensPerSession is how many fencing tokens from Token on a session may use.
+	TokensPerSession = 2
 	// concurrentOrders is the number of orders in flight to one worker.
 	concurrentOrders = 3
 	// orderQueueLength bounds the queued orders. A start beyond it is not sent, and
@@ -102,8 +104,14 @@
 // Run.
 type Session struct {
 	Worker weir.WorkerIncarnation
-	// Token is the fencing token of all orders: the leader's term.
+	// Token is the fencing token of all orders. It is higher than those of earlier
+	// leaders and of earlier sessions with the same id: once the worker has answered,
+	// it refuses late orders that were meant for an earlier incarnation. Once another
+	// incarnation has answered, the session uses the next token, for the same reason.
 	Token uint64
+	// Restarted says that an earlier incarnation had the same id. Until the worker
+	// has answered, it may take orders that were meant for that one.
+	Restarted bool
 	// Lease is the duration of a lease, MaxLease the longest one that a worker
 	// accepts.
 	Lease    time.Duration
@@ -134,6 +142,8 @@
 	wake       chan struct{}
 	orders     chan func(ctx context.Context)
 	lastReport report
+	// answered is set once the worker has answered a renewal.
+	answered bool
 	// workerClock was read between clockSentAt and clockRecvAt, local time.
 	workerClock      time.Duration
 	clockSentAt      time.Time
@@ -242,6 +252,21 @@
 	ss.committing = false
 }
 
+// token returns the fencing token of the next order.
+func (ss *Session) token() uint64 {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.tokenLocked()
+}
+
+// tokenLocked is token for callers that hold the lock.
+func (ss *Session) tokenLocked() uint64 {
+	if ss.otherSeenAt.IsZero() {
+		return ss.Token
+	}
+	return ss.Token + TokensPerSession - 1
+}
+
 // Usable reports whether the worker responds and its clock is known.
 func (ss *Session) Usable() bool {
 	ss.mu.Lock()
@@ -249,6 +274,13 @@
 	return !ss.closed && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation
 }
 
+// OtherIncarnation reports whether another incarnation answered last.
+func (ss *Session) OtherIncarnation() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.otherIncarnation
+}
+
 // Unreachable reports whether renewals fail.
 func (ss *Session) Unreachable() bool {
 	ss.mu.Lock()
