fix: hand a vote over only when the process is told to stop

Found by reading the change again: a process that ends because a component has failed, such as a disk, also tried to hand its vote over, and so kept its listeners open for up to a second with a log that no longer runs. The component now looks at the context of the signal. The test tells both apart by the same means instead of a flag of its own.

Both follow from one constant now.

--- a/cmd/greengageweir/handover_test.go
+++ b/cmd/greengageweir/handover_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,12 +27,11 @@
 // testReplica is a process with a replica of the log, run in this process.
 type testReplica struct {
 	*logReplica
-	// handsOver is cleared for a process that is to end without notice.
-	handsOver atomic.Bool
-	t         *testing.T
-	err       error
-	cancel    context.CancelFunc
-	done      chan struct{}
+	t   *testing.T
+	err error
+	// told tells the process to stop, cancel ends it.
+	told, cancel context.CancelFunc
+	done         chan struct{}
 }
 
 // startReplica starts a replica.
@@ -46,19 +44,12 @@
 		t:          t, done: make(chan struct{}),
 	}
 	tr.build()
-	tr.handsOver.Store(true)
-	handOver := &run.Func{Name: "vote handover", Do: func(ctx context.Context) error {
-		<-ctx.Done()
-		if tr.handsOver.Load() {
-			return tr.handOver().Run(ctx)
-		}
-		return nil
-	}}
-	var ctx context.Context
-	ctx, tr.cancel = context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	stop, told := context.WithCancel(context.Background())
+	tr.cancel, tr.told = cancel, told
 	go func() {
 		defer close(tr.done)
-		tr.err = run.All(ctx, lg, append(tr.components, handOver)...)
+		tr.err = run.All(ctx, lg, append(tr.components, tr.handOver(stop))...)
 	}()
 	t.Cleanup(tr.kill)
 	return tr
@@ -66,15 +57,15 @@
 
 // stop stops the replica as a signal does.
 func (tr *testReplica) stop() {
-	tr.cancel()
-	<-tr.done
-	require.NoError(tr.t, tr.err)
+	tr.told()
+	tr.kill()
 }
 
 // kill ends the replica without notice to the others.
 func (tr *testReplica) kill() {
-	tr.handsOver.Store(false)
-	tr.stop()
+	tr.cancel()
+	<-tr.done
+	require.NoError(tr.t, tr.err)
 }
 
 // freeAddress returns a loopback address that nothing listens at.
--- a/cmd/greengageweir/jobs.go
+++ b/cmd/greengageweir/jobs.go
@@ -113,7 +113,7 @@
 	if jc.MetricsAddr != "" {
 		lr.components = append(lr.components, metricsListener(jc.MetricsAddr, lr.dumpState, limits))
 	}
-	return run.All(ctx, lg, append(lr.components, lr.handOver())...)
+	return run.All(ctx, lg, append(lr.components, lr.handOver(ctx))...)
 }
 
 // metricsListener serves metrics and a dump of the process's state.
--- a/cmd/greengageweir/log_replica.go
+++ b/cmd/greengageweir/log_replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -43,6 +44,9 @@
 	// need, and the log since the last snapshot. A snapshot needs some times as much
 	// while it is saved, sent or restored.
 	stateShare = 12
+	// defaultMemoryMB is the memory that limits are derived from if no setting names
+	// it, as in package admit.
+	defaultMemoryMB = 512
 	// handOverTimeout limits how long a process that is told to stop waits until it is
 	// replaced as a voter. It covers an election.
 	handOverTimeout = time.Second
@@ -57,7 +61,7 @@
 	DataDir   string
 	Voters    int
 	Retention time.Duration
-	// MemoryMB is the machine's memory in MiB; 0 selects the defaults of the limits.
+	// MemoryMB is the machine's memory in MiB; 0 selects defaultMemoryMB.
 	MemoryMB int
 	// OnLeadershipChange is called when this process gains or loses leadership; it
 	// may be nil.
@@ -91,7 +95,7 @@
 	self := peer.Identity{ID: lr.PeerAddr, Role: "control", Zone: lr.Zone}
 	bootClock, wallClock, lg := clock.BootTime{}, clock.Wall{}, lr.Logger
 	lks := &links.Links{Self: self, Token: lr.Token, Logger: lg}
-	stateBytes := int64(lr.MemoryMB) * mebibyte / stateShare
+	stateBytes := int64(cmp.Or(lr.MemoryMB, defaultMemoryMB)) * mebibyte / stateShare
 	str := store.New()
 	str.Clock = bootClock
 	lr.node = &node.Node{
@@ -116,11 +120,15 @@
 	}
 }
 
-// handOver returns the component that has this process replaced as a voter when it is
-// told to stop. It is the last component, so that it ends before the others do.
-func (lr *logReplica) handOver() weir.Component {
+// handOver returns the component that has this process replaced as a voter once stop
+// has ended, which tells it to stop. It is the last component, so that it ends before
+// the others do. A process that ends because a component has failed hands nothing over.
+func (lr *logReplica) handOver(stop context.Context) weir.Component {
 	return &run.Func{Name: "vote handover", Do: func(ctx context.Context) error {
 		<-ctx.Done()
+		if stop.Err() == nil {
+			return nil
+		}
 		handCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTimeout)
 		defer cancel()
 		lr.roster.HandOver(handCtx)
--- a/cmd/greengageweir/platform_control.go
+++ b/cmd/greengageweir/platform_control.go
@@ -65,7 +65,7 @@
 			Name: "control listener", Addr: st.Bind.Control, Handler: ctl.Routes(), ShutdownTimeout: controlShutdownTimeout,
 			Limits: platform.ControlLimits(pc.limits),
 		})
-	err = run.All(ctx, lg, append(lr.components, lr.handOver())...)
+	err = run.All(ctx, lg, append(lr.components, lr.handOver(ctx))...)
 	_ = lg.Log("level", "info", "msg", "stopped", "err", err)
 	return err
 }
--- a/internal/job/handler/state_limit.go
+++ b/internal/job/handler/state_limit.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// defaultStateLimit is the limit for the state of all jobs without a setting, in
-	// bytes.
-	defaultStateLimit = 32 << 20
 	// jobShare is the divisor of the limit that one job may need.
 	jobShare = 4
 	// heavyWeight is the weight in bytes above which a job counts as heavy. Heavy jobs
@@ -26,10 +23,10 @@
 	retryStateFull = 2 * time.Second
 )
 
-// StateLimit limits the memory that jobs need in each replica. The zero value has the
-// default limit. It is safe for concurrent use.
+// StateLimit limits the memory that jobs need in each replica. It is safe for
+// concurrent use.
 type StateLimit struct {
-	// Bytes is the limit in bytes; 0 selects the default.
+	// Bytes is the limit in bytes.
 	Bytes int64
 
 	mu sync.Mutex
@@ -37,16 +34,9 @@
 	pending int64
 }
 
-func (sl *StateLimit) bytes() int64 {
-	if sl.Bytes > 0 {
-		return sl.Bytes
-	}
-	return defaultStateLimit
-}
-
 // tooHeavy returns why a job can never be accepted, or "".
 func (sl *StateLimit) tooHeavy(weight int64) string {
-	if limit := sl.bytes() / jobShare; weight > limit {
+	if limit := sl.Bytes / jobShare; weight > limit {
 		return fmt.Sprintf("the tasks of all occurrences need %d bytes, at most %d", weight, limit)
 	}
 	return ""
@@ -56,7 +46,7 @@
 // whether there is any. The caller releases it once the job is in the store or was
 // refused.
 func (sl *StateLimit) reserve(stored, weight int64) bool {
-	limit := sl.bytes()
+	limit := sl.Bytes
 	if weight > heavyWeight {
 		limit = limit / 4 * heavyShare
 	}
@@ -91,6 +81,6 @@
 	}
 	metrics.GetOrCreateCounter("weir_jobs_refused_for_state_total").Inc()
 	_ = sv.Logger.Log("level", "info", "msg", "job refused", "reason", "state", "job", jb.ID, "queue", jb.Queue, "team", jb.Team,
-		"bytes", weight, "stored", stored, "limit", sv.StateLimit.bytes())
+		"bytes", weight, "stored", stored, "limit", sv.StateLimit.Bytes)
 	return nil, &jobapi.Reply{Outcome: jobapi.Refused, Reason: "too many jobs are stored", RetryAfter: retryStateFull}
 }
--- a/internal/state/replica/members.go
+++ b/internal/state/replica/members.go
@@ -176,8 +176,8 @@
 
 // RemoveSelf proposes the set of voters without the leader, which stops soon. Its own
 // log does not count for a majority from then on, and it steps down once the set is
-// committed (section 4.2.2 of the dissertation). Errors are those of ChangeMembers; a leader that is not a voter,
-// or the only one, gets KindMembers.
+// committed (section 4.2.2 of the dissertation). Errors are those of ChangeMembers; a
+// leader that is not a voter, or the only one, gets KindMembers.
 func (co *Core) RemoveSelf(now time.Time) error {
 	if err := co.mayChangeMembers(); err != nil {
 		return err
