fix: a restarted worker that has answered holds no lease beyond the longest

What callers would have seen since: the tasks of a worker that restarts and is lost again within 12 s wait for up to 23.5 s after the restart instead of 11.5 s, since the bound for workers that never answer stayed in force after the first answer.

Change: the first answer replaces that bound by the end of the longest lease, as no late order is taken from then on.

--- a/internal/job/scheduler/late_orders_test.go
+++ b/internal/job/scheduler/late_orders_test.go
@@ -125,7 +125,8 @@
 		runSession: func(context.Context, *session.Session) {}, wake: make(chan struct{}, 1),
 	}
 	lw.late = true
-	ss := sc.openSession(t.Context(), sc.newLeaderState(3), store.Worker{ID: "w0", Incarnation: 2, Restarted: true}, lw.clk.Now()).session
+	wk := store.Worker{ID: "w0", Incarnation: 2, Restarted: true, RestartedAt: testNow}
+	ss := sc.openSession(t.Context(), sc.newLeaderState(3), wk, lw.clk.Now()).session
 	ss.RenewOnce(t.Context())
 	lw.clk.Advance(6 * time.Second)
 	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
@@ -139,7 +140,7 @@
 	require.Contains(t, lw.worker.Runs, key)
 	require.False(t, ss.LeaseExpired(lw.clk.Now()))
 	lw.clk.Advance(time.Second)
-	require.True(t, ss.LeaseExpired(lw.clk.Now()))
+	require.True(t, ss.LeaseExpired(lw.clk.Now()), "its tasks wait no longer than for that lease")
 }
 
 // TestLateOrdersBeforeAnyAnswer guards against tasks that are started elsewhere while a
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -112,8 +112,9 @@
 		ss.otherIncarnation, ss.clockSentAt = false, time.Time{}
 	}
 	if ss.Restarted && !ss.answered {
-		// It may have taken the longest lease from a late order right before.
-		ss.extendLeaseExpiry(ss.Clock.Now().Add(slowestSpan(ss.MaxLease)))
+		// It may have taken the longest lease from a late order right before. From now on
+		// it takes none, so that this bound replaces PriorLeaseExpiry.
+		ss.leaseExpiry = ss.Clock.Now().Add(slowestSpan(ss.MaxLease))
 	}
 	ss.answered = true
 	ss.forgottenEnd = max(ss.forgottenEnd, acknowledged)
