test: draw the change of a worker's restart too; one scheduler for late orders

TestRestoredStoreAppliesTheSameChanges says that it draws changes of every kind, but the restart of a worker was added after it. Two tests of late orders built the same scheduler; a method builds it now. No assertion and no product code has changed.

--- a/internal/job/scheduler/late_orders_test.go
+++ b/internal/job/scheduler/late_orders_test.go
@@ -56,16 +56,21 @@
 
 func (lw *lateWorkers) Forget(string) {}
 
+// scheduler returns a scheduler whose sessions with the worker are stepped by the test.
+func (lw *lateWorkers) scheduler() *Scheduler {
+	return &Scheduler{
+		Store: store.New(), Workers: lw, Leadership: firstTermLeader{}, Clock: lw.clk, Wall: lw.clk, Logger: log.NewNopLogger(), Lease: simLease, MaxLease: workermodel.HoldMax,
+		runSession: func(context.Context, *session.Session) {}, wake: make(chan struct{}, 1),
+	}
+}
+
 // TestLateOrdersToNextIncarnation guards against tasks that run twice because a worker
 // that is back under its id takes calls that were meant for its former incarnation: an
 // acknowledgement forgets ends that nobody has seen, a lease on the former clock keeps
 // tasks running after the leader has given them up, a start is carried out late.
 func TestLateOrdersToNextIncarnation(t *testing.T) {
 	lw := &lateWorkers{clk: clock.NewManual(testNow), worker: workermodel.New("w0", 1, testNow)}
-	sc := &Scheduler{
-		Store: store.New(), Workers: lw, Leadership: firstTermLeader{}, Clock: lw.clk, Wall: lw.clk, Logger: log.NewNopLogger(), Lease: simLease, MaxLease: workermodel.HoldMax,
-		runSession: func(context.Context, *session.Session) {}, wake: make(chan struct{}, 1),
-	}
+	sc := lw.scheduler()
 	ls := sc.newLeaderState(3)
 	open := func(incarnation int64) *session.Session {
 		wk := store.Worker{ID: "w0", Incarnation: incarnation, Restarted: incarnation > 1}
@@ -120,10 +125,7 @@
 // a worker that took a late lease right before its first answer still runs them.
 func TestLateLeaseBeforeFirstAnswer(t *testing.T) {
 	lw := &lateWorkers{clk: clock.NewManual(testNow), worker: workermodel.New("w0", 2, testNow)}
-	sc := &Scheduler{
-		Store: store.New(), Workers: lw, Leadership: firstTermLeader{}, Clock: lw.clk, Wall: lw.clk, Logger: log.NewNopLogger(), Lease: simLease, MaxLease: workermodel.HoldMax,
-		runSession: func(context.Context, *session.Session) {}, wake: make(chan struct{}, 1),
-	}
+	sc := lw.scheduler()
 	lw.late = true
 	wk := store.Worker{ID: "w0", Incarnation: 2, Restarted: true, RestartedAt: testNow}
 	ss := sc.openSession(t.Context(), sc.newLeaderState(3), wk, lw.clk.Now()).session
--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -39,6 +39,9 @@
 		func() Change {
 			return Change{Crash: &WorkerCrash{ID: testWorker(worker, 1).ID, Incarnation: incarnation, Recent: []RunKey{key}}}
 		},
+		func() Change {
+			return Change{Restart: &WorkerRestart{ID: testWorker(worker, 1).ID, Incarnation: incarnation}}
+		},
 		func() Change { return Change{Forget: []spec.JobID{id}} },
 		func() Change {
 			return Change{Wave: &Wave{Number: wave, Machines: []string{"m0", "m1"}, MaxParallel: 1}}
