--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -73,6 +73,7 @@
 			require.NoError(rt, err)
 			require.JSONEq(rt, string(want), string(got))
 			require.Equal(rt, fx.sr.st.Weight, restored.sr.st.Weight)
+			require.Equal(rt, fx.sr.st.Workers, restored.sr.st.Workers)
 		}
 	})
 }
