--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+. "$(dirname "$0")/../fleet-3.sh"
+play_case adviser-page "$(cd "$(dirname "$0")" && pwd)"
