review: show that a wave stops a lasting task for good (case 13)

The evicted task finds no other worker of its kind, and the machine stays cordoned because its own task is away.

--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -11,6 +11,7 @@
 const (
 	queue    = "bookings"
 	oneJob   = "5c0e7a21d94b36f8"
+	otherJob = "93a1c07be2d5f648"
 	startMax = 15 * time.Second
 	// maxAttempts is the route's limit of failed runs of a task.
 	maxAttempts = 3
@@ -260,6 +261,99 @@
 	return pl.neverRuns(taskName(1, 0), 14*time.Second)
 }
 
+// blockedUpkeep makes one of two machines due for upkeep after the worker of the other
+// was lost, and hands in a job that the first has room for.
+func blockedUpkeep(pl *play) ([]string, error) {
+	cl := &cloud{pl: pl}
+	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
+		return nil, err
+	}
+	if err := pl.putConfig(1, route(queue)); err != nil {
+		return nil, err
+	}
+	if err := pl.startFleet(2); err != nil {
+		return nil, err
+	}
+	cl.add(pl.workers...)
+	if err := pl.submit(lasting, step(2, map[string]any{"long_running": true, "may_miss": 1, "anti_affinity": 1})); err != nil {
+		return nil, err
+	}
+	for index := range 2 {
+		if _, err := pl.awaitRun(taskName(0, index), 1); err != nil {
+			return nil, err
+		}
+	}
+	if pl.trouble {
+		pl.worker("i-002").crash()
+	}
+	time.Sleep(6 * time.Second)
+	wave := map[string]any{"wave": 1, "machines": []string{"m-001"}, "deadline_s": 60, "cap": 1}
+	if err := pl.toControl(http.MethodPost, "/-/wave-start", wave); err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Second)
+	if err := pl.submitJob(otherJob, "1s", step(1, map[string]any{"estimated_ms": 1000})); err != nil {
+		return nil, err
+	}
+	return pl.neverRuns(otherTask, 14*time.Second)
+}
+
+// onlyMachine makes the only machine of its kind due for upkeep, which runs both tasks
+// of a step of which one may be away.
+func onlyMachine(pl *play) ([]string, error) {
+	cl := &cloud{pl: pl}
+	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
+		return nil, err
+	}
+	if err := pl.putConfig(1, route(queue)); err != nil {
+		return nil, err
+	}
+	if err := pl.startFleet(3); err != nil {
+		return nil, err
+	}
+	cl.add(pl.workers...)
+	if err := pl.submit(lasting, step(2, map[string]any{"long_running": true, "may_miss": 1, "requires": firstKind})); err != nil {
+		return nil, err
+	}
+	for index := range 2 {
+		if _, err := pl.awaitRun(taskName(0, index), 1); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if pl.trouble {
+		wave := map[string]any{"wave": 1, "machines": []string{"m-001"}, "deadline_s": 26, "cap": 1}
+		if err := pl.toControl(http.MethodPost, "/-/wave-start", wave); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(30 * time.Second)
+	return append(pl.awayFor(3*time.Second, 2), cl.breaks()...), nil
+}
+
+// awayFor returns the tasks of the job that have no run for a time, on end and to the
+// end of the case, and whose last run ended over 6 s before.
+func (pl *play) awayFor(span time.Duration, tasks int) []string {
+	seen := map[string]bool{}
+	begin := now()
+	for until := begin.Add(span); now().Before(until); time.Sleep(pollPause) {
+		for index := range tasks {
+			if pl.atWork(taskName(0, index)) != nil {
+				seen[taskName(0, index)] = true
+			}
+		}
+	}
+	var out []string
+	for index := range tasks {
+		task := taskName(0, index)
+		runs := pl.runsOf(task)
+		if last := runs[len(runs)-1]; !seen[task] && begin.Sub(last.ended) > 6*time.Second {
+			out = append(out, fmt.Sprintf("LOST: task %s has no run; its last, on %s, ended %.1f s ago: %s", task, last.worker, now().Sub(last.ended).Seconds(), last.how))
+		}
+	}
+	return out
+}
+
 // lateUpkeep makes a machine due for upkeep while the platform is unavailable for
 // five seconds, and loses the worker with the step's other task meanwhile.
 func lateUpkeep(pl *play) ([]string, error) {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -38,6 +38,8 @@
 	"foreign-beat":   foreignBeat,
 	"restart-crash":  restartCrash,
 	"adviser-page":   adviserPage,
+	"blocked-upkeep": blockedUpkeep,
+	"only-machine":   onlyMachine,
 	"dropped-queue":  droppedQueue,
 	"late-upkeep":    lateUpkeep,
 }
--- a/review/rig3/play.go
+++ b/review/rig3/play.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	service     = "desk"
+	service = "desk"
+	// firstKind is the kind of the first worker of a fleet, which no other has.
+	firstKind   = "g"
 	callTimeout = 3 * time.Second
 	// readyTimeout is the time for the processes to elect a leader.
 	readyTimeout = 20 * time.Second
@@ -200,18 +202,23 @@
 
 // submit hands the case's job in until it is accepted.
 func (pl *play) submit(text string, steps ...map[string]any) error {
+	return pl.submitJob(oneJob, text, steps...)
+}
+
+// submitJob hands a job in until it is accepted.
+func (pl *play) submitJob(job, text string, steps ...map[string]any) error {
 	pl.mu.Lock()
-	pl.cpu[oneJob] = steps[0]["cpu"].(int)
+	pl.cpu[job] = steps[0]["cpu"].(int)
 	pl.mu.Unlock()
 	body := map[string]any{"spec": text, "steps": steps}
 	for until := now().Add(readyTimeout); now().Before(until); time.Sleep(pollPause) {
-		status, _, err := pl.call(http.MethodPost, pl.ad.Front, queue+".example", "/"+queue+"/"+oneJob, body)
+		status, _, err := pl.call(http.MethodPost, pl.ad.Front, queue+".example", "/"+queue+"/"+job, body)
 		if err == nil && status == http.StatusOK {
-			pl.rec.note("job %s accepted on %s", oneJob, queue)
+			pl.rec.note("job %s accepted on %s", job, queue)
 			return nil
 		}
 	}
-	return errors.New("job " + oneJob + " is not accepted")
+	return errors.New("job " + job + " is not accepted")
 }
 
 // state returns the state that the case's job is shown in, or the status of the
@@ -237,6 +244,9 @@
 		if err != nil {
 			return err
 		}
+		if ix == 1 {
+			wk.kind = firstKind
+		}
 		for until := now().Add(readyTimeout); !wk.announce(); time.Sleep(pollPause) {
 			if now().After(until) {
 				return errors.New("no control process takes the workers' heartbeats")
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -49,6 +49,8 @@
 	machine string
 	addr    string
 	service string
+	// kind is the first of the worker's labels.
+	kind    string
 	born    int64
 	started time.Time
 	// ticket is the ticket that starts have to carry; "" needs none.
@@ -76,7 +78,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	wk := &worker{
-		pl: pl, id: id, machine: machine, addr: addr, service: service, born: now().UnixMilli(), started: now(), up: true,
+		pl: pl, id: id, machine: machine, addr: addr, service: service, kind: "a", born: now().UnixMilli(), started: now(), up: true,
 		running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), stop: cancel,
 	}
 	mux := http.NewServeMux()
@@ -110,7 +112,7 @@
 	wk.seq++
 	body := map[string]any{
 		"service": wk.service, "address": wk.addr, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-		"machine": wk.machine, "capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemory, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"machine": wk.machine, "capacity": map[string]int{"cpu": workerCPU, "mem_mb": workerMemory, "gpu": 0}, "labels": []string{wk.kind, "r1-1"},
 		"clock_ms": wk.clock(), "seq": wk.seq, "born": wk.born,
 	}
 	wk.mu.Unlock()
@@ -304,3 +306,6 @@
 
 // taskName returns the name of a task of the case's job.
 func taskName(step, index int) string { return fmt.Sprintf("%s.0.%d.%d", oneJob, step, index) }
+
+// otherTask is the only task of a second job.
+const otherTask = otherJob + ".0.0.0"
