--- a/review/fleet-3.sh
+++ b/review/fleet-3.sh
@@ -1,24 +1,35 @@
-# Functions of the cases' scripts; sourced, not run. play_case starts three control
-# processes and one entry instance with the commands of deploy/system.toml, plays a
-# case against them and ends them.
+#!/bin/bash
+# Plays a case of the third review: fleet-3.sh NAME FOLDER, or sourced for play_case.
+#
+# It starts three control processes and one entry instance with the commands of
+# deploy/system.toml, plays the case against them, writes FOLDER/record.txt and ends
+# all of them by their ids.
 
 play_case() {
-    name=$1 here=$2 root=$(cd "$2/../.." && pwd)
-    rig=$root/target/review-3/rig3
-    [ -x "$rig" ] && [ -x "$root/target/greengageweir" ] || { echo "not built" >&2; exit 2; }
+    local name=$1 root node code
+    here=$(cd "$2" && pwd) || exit 2
+    root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+    cd "$root" || exit 2
+    rig=target/review-3/rig3
+    [ -x "$rig" ] && [ -x target/greengageweir ] || { echo "not built" >&2; exit 2; }
     dir=$(mktemp -d) || exit 2
     pids=
     trap 'kill -9 $pids; wait; rm -rf "$dir"' EXIT
+    trap 'exit 2' INT TERM
     "$rig" --prepare --dir "$dir" || exit 2
-    cd "$root" || exit 2
     for node in core-1 core-2 core-3; do
         GREENGAGEWEIR_CONFIG=$dir/$node.json target/greengageweir platform-control >"$dir/$node.log" 2>&1 &
         pids="$pids $!"
     done
     GREENGAGEWEIR_CONFIG=$dir/edge-1.json target/greengageweir platform-entry >"$dir/edge-1.log" 2>&1 &
     pids="$pids $!"
-    "$rig" --case "$name" --dir "$dir" --record "$here/record.txt" --trouble "${TROUBLE:-1}"
+    timeout 110 "$rig" --case "$name" --dir "$dir" --record "$here/record.txt" --trouble "${TROUBLE:-1}"
     code=$?
+    [ "$code" -le 2 ] || code=2
     [ -n "${KEEP_LOGS:-}" ] && cp "$dir"/*.log "$KEEP_LOGS"/
     exit $code
 }
+
+if [ "${BASH_SOURCE[0]}" = "$0" ]; then
+    play_case "$1" "$2"
+fi
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -13,8 +13,10 @@
 	oneJob   = "5c0e7a21d94b36f8"
 	otherJob = "93a1c07be2d5f648"
 	startMax = 15 * time.Second
-	// maxAttempts is the route's limit of failed runs of a task.
-	maxAttempts = 3
+	// finishTime is the bound finish_s: how long after the traffic unfinished jobs are
+	// asked for. calmTime is for how long nothing of one may run then.
+	finishTime = 14 * time.Second
+	calmTime   = 3 * time.Second
 )
 
 func step(count int, more map[string]any) map[string]any {
@@ -25,9 +27,9 @@
 	return st
 }
 
-// begin configures one queue and starts a fleet of workers, with a platform that
+// begin configures one queue and starts a fleet of three workers, with a platform that
 // lists no machines.
-func (pl *play) begin(workers int) error {
+func (pl *play) begin() error {
 	cl := &cloud{pl: pl}
 	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
 		return err
@@ -35,67 +37,36 @@
 	if err := pl.putConfig(1, route(queue)); err != nil {
 		return err
 	}
-	return pl.startFleet(workers)
+	return pl.startFleet(3)
 }
 
-// workerCrashes kills the worker of a task twice, each time within two seconds of the
-// task's start. Another life of the worker's machine follows each time.
-func workerCrashes(pl *play) ([]string, error) {
-	if err := pl.begin(4); err != nil {
+// beginMachines is begin with a platform that lists the machines of the workers.
+func (pl *play) beginMachines(workers int) (*cloud, error) {
+	cl := &cloud{pl: pl}
+	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
 		return nil, err
 	}
-	if err := pl.submit("5s", step(1, nil)); err != nil {
+	if err := pl.putConfig(1, route(queue)); err != nil {
 		return nil, err
 	}
-	task := taskName(0, 0)
-	for number := 1; pl.trouble && number <= 2; number++ {
-		rn, err := pl.awaitRun(task, number)
-		if err != nil {
-			if st := pl.state(); st == "failed" {
-				break
-			}
-			return nil, err
-		}
-		time.Sleep(time.Second)
-		wk := pl.worker(rn.worker)
-		wk.crash()
-		time.Sleep(time.Second)
-		next, err := pl.startWorker(fmt.Sprintf("%s-%d", wk.id, number+1), wk.machine, wk.addr)
-		if err != nil {
-			return nil, err
-		}
-		go next.announceLoop()
-	}
-	st := ""
-	for until := now().Add(40 * time.Second); now().Before(until); time.Sleep(4 * pollPause) {
-		if st = pl.state(); st == "done" || st == "failed" || st == "cancelled" {
-			break
-		}
-	}
-	pl.rec.note("job %s is shown as %s", oneJob, st)
-	failed := 0
-	for _, rn := range pl.runsOf(task) {
-		if rn.how == "failed" {
-			failed++
-		}
-	}
-	if (st == "failed" || st == "cancelled") && failed < maxAttempts {
-		return []string{fmt.Sprintf("LOST: the job is shown as %q, and %d of its %d runs ended failed", st, failed, len(pl.runsOf(task)))}, nil
+	if err := pl.startFleet(workers); err != nil {
+		return nil, err
 	}
-	return nil, nil
+	cl.add(pl.workers...)
+	return cl, nil
 }
 
 // foreignBeat sends one heartbeat of another writer, without the fields that
 // describe a worker, that names the address of a worker that is at work.
 func foreignBeat(pl *play) ([]string, error) {
-	if err := pl.begin(3); err != nil {
+	if err := pl.begin(); err != nil {
 		return nil, err
 	}
 	if err := pl.submit("15s", step(1, map[string]any{"estimated_ms": 15000})); err != nil {
 		return nil, err
 	}
-	task := taskName(0, 0)
-	rn, err := pl.awaitRun(task, 1)
+	task := taskName(0)
+	rn, err := pl.awaitRun(task)
 	if err != nil {
 		return nil, err
 	}
@@ -124,17 +95,61 @@
 	return out
 }
 
+// rebornLate leaves one start unanswered and cuts its worker off, which crashes behind the
+// cut and starts again under its id. The start is carried out 5 s after it was sent.
+func rebornLate(pl *play) ([]string, error) {
+	if err := pl.begin(); err != nil {
+		return nil, err
+	}
+	time.Sleep(10 * time.Second)
+	pl.mu.Lock()
+	pl.lateNext = pl.trouble
+	pl.mu.Unlock()
+	if err := pl.submit("8s", step(1, map[string]any{"estimated_ms": 8000})); err != nil {
+		return nil, err
+	}
+	if !pl.trouble {
+		time.Sleep(12 * time.Second)
+		return pl.doubles(taskName(0)), nil
+	}
+	od, id, err := pl.awaitLate()
+	if err != nil {
+		return nil, err
+	}
+	sent := now()
+	after := func(span time.Duration) { time.Sleep(sent.Add(span).Sub(now())) }
+	wk := pl.worker(id)
+	after(200 * time.Millisecond)
+	wk.setCut(true)
+	after(time.Second)
+	wk.crash()
+	after(2 * time.Second)
+	next, err := pl.startWorker(wk.id, wk.machine, wk.addr)
+	if err != nil {
+		return nil, err
+	}
+	next.setCut(true)
+	after(5 * time.Second)
+	status, body := next.apply(*od, next.start)
+	pl.rec.note("worker %s carries out the late start of task %s run %d: %d %v", id, od.Task, od.Run, status, body)
+	after(5700 * time.Millisecond)
+	next.setCut(false)
+	go next.announceLoop()
+	after(14 * time.Second)
+	return pl.doubles(taskName(0)), nil
+}
+
 // restartCrash kills the worker of a task that lasts. It starts again under its id,
 // announces itself, and is lost for good.
 func restartCrash(pl *play) ([]string, error) {
-	if err := pl.begin(3); err != nil {
+	if err := pl.begin(); err != nil {
 		return nil, err
 	}
 	if err := pl.submit(lasting, step(1, map[string]any{"long_running": true})); err != nil {
 		return nil, err
 	}
-	task := taskName(0, 0)
-	rn, err := pl.awaitRun(task, 1)
+	task := taskName(0)
+	rn, err := pl.awaitRun(task)
 	if err != nil {
 		return nil, err
 	}
@@ -167,7 +182,7 @@
 			pl.rec.note("task %s is at work again, %.1f s after the worker was lost", task, rn.started.Sub(lost).Seconds())
 			break
 		}
-		if len(breaks) == 0 && now().Sub(from) > 3*time.Second {
+		if len(breaks) == 0 && now().Sub(from) > calmTime {
 			breaks = append(breaks, "LOST: the task has had no run for 3 s, 4 s after the last disruption and 6 s after its last run, with two idle workers")
 			pl.rec.note("3 s without a run")
 		}
@@ -223,63 +238,32 @@
 	if err := pl.submit("1s", step(1, map[string]any{"estimated_ms": 1000})); err != nil {
 		return nil, err
 	}
-	return pl.neverRuns(taskName(0, 0), 14*time.Second)
+	return pl.neverRuns(taskName(0))
 }
 
 // neverRuns waits for the time after which unfinished jobs are asked for, and for 3 s
 // more.
-func (pl *play) neverRuns(task string, finish time.Duration) ([]string, error) {
-	time.Sleep(finish)
-	for until := now().Add(3 * time.Second); now().Before(until); time.Sleep(pollPause) {
+func (pl *play) neverRuns(task string) ([]string, error) {
+	time.Sleep(finishTime)
+	for until := now().Add(calmTime); now().Before(until); time.Sleep(pollPause) {
 		if len(pl.runsOf(task)) > 0 {
 			return nil, nil
 		}
 	}
-	return []string{fmt.Sprintf("LOST: task %s of an accepted job has not begun %s after it was its turn, with idle workers", task, finish+3*time.Second)}, nil
-}
-
-// droppedQueue removes a queue's route while a job of it is at work on its first step.
-func droppedQueue(pl *play) ([]string, error) {
-	if err := pl.begin(3); err != nil {
-		return nil, err
-	}
-	steps := []map[string]any{step(1, nil), step(1, map[string]any{"after": []int{0}})}
-	if err := pl.submit("2s", steps...); err != nil {
-		return nil, err
-	}
-	if _, err := pl.awaitRun(taskName(0, 0), 1); err != nil {
-		return nil, err
-	}
-	next := []map[string]any{route("orders")}
-	if !pl.trouble {
-		next = append(next, route(queue))
-	}
-	if err := pl.putConfig(2, next...); err != nil {
-		return nil, err
-	}
-	time.Sleep(3 * time.Second)
-	return pl.neverRuns(taskName(1, 0), 14*time.Second)
+	return []string{fmt.Sprintf("LOST: task %s of an accepted job has not begun %s after it was its turn, with idle workers", task, finishTime+calmTime)}, nil
 }
 
 // blockedUpkeep makes one of two machines due for upkeep after the worker of the other
 // was lost, and hands in a job that the first has room for.
 func blockedUpkeep(pl *play) ([]string, error) {
-	cl := &cloud{pl: pl}
-	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
-		return nil, err
-	}
-	if err := pl.putConfig(1, route(queue)); err != nil {
+	if _, err := pl.beginMachines(2); err != nil {
 		return nil, err
 	}
-	if err := pl.startFleet(2); err != nil {
-		return nil, err
-	}
-	cl.add(pl.workers...)
 	if err := pl.submit(lasting, step(2, map[string]any{"long_running": true, "may_miss": 1, "anti_affinity": 1})); err != nil {
 		return nil, err
 	}
 	for index := range 2 {
-		if _, err := pl.awaitRun(taskName(0, index), 1); err != nil {
+		if _, err := pl.awaitRun(taskName(index)); err != nil {
 			return nil, err
 		}
 	}
@@ -287,7 +271,7 @@
 		pl.worker("i-002").crash()
 	}
 	time.Sleep(6 * time.Second)
-	wave := map[string]any{"wave": 1, "machines": []string{"m-001"}, "deadline_s": 60, "cap": 1}
+	wave := map[string]any{"wave": 1, "machines": []string{"m-001"}, "deadline_s": 26, "cap": 1}
 	if err := pl.toControl(http.MethodPost, "/-/wave-start", wave); err != nil {
 		return nil, err
 	}
@@ -295,28 +279,40 @@
 	if err := pl.submitJob(otherJob, "1s", step(1, map[string]any{"estimated_ms": 1000})); err != nil {
 		return nil, err
 	}
-	return pl.neverRuns(otherTask, 14*time.Second)
+	return pl.neverRuns(otherTask)
 }
 
-// onlyMachine makes the only machine of its kind due for upkeep, which runs both tasks
-// of a step of which one may be away.
-func onlyMachine(pl *play) ([]string, error) {
-	cl := &cloud{pl: pl}
-	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
+// dottedID hands in a job whose id has a dot, and later an ordinary job.
+func dottedID(pl *play) ([]string, error) {
+	if err := pl.begin(); err != nil {
 		return nil, err
 	}
-	if err := pl.putConfig(1, route(queue)); err != nil {
+	id := oneJob
+	if pl.trouble {
+		id = "5c0e7a21.94b36f8"
+	}
+	body := map[string]any{"spec": "1s", "steps": []map[string]any{step(1, map[string]any{"estimated_ms": 1000})}}
+	status, text, err := pl.call(http.MethodPost, pl.ad.Front, queue+".example", "/"+queue+"/"+id, body)
+	pl.rec.note("job %s: %d %s %v", id, status, text, err)
+	time.Sleep(20 * time.Second)
+	if err := pl.submitJob(otherJob, "1s", step(1, map[string]any{"estimated_ms": 1000})); err != nil {
 		return nil, err
 	}
-	if err := pl.startFleet(3); err != nil {
+	return pl.neverRuns(otherTask)
+}
+
+// onlyMachine makes the only machine of its kind due for upkeep, which runs both tasks
+// of a step of which one may be away.
+func onlyMachine(pl *play) ([]string, error) {
+	cl, err := pl.beginMachines(3)
+	if err != nil {
 		return nil, err
 	}
-	cl.add(pl.workers...)
 	if err := pl.submit(lasting, step(2, map[string]any{"long_running": true, "may_miss": 1, "requires": firstKind})); err != nil {
 		return nil, err
 	}
 	for index := range 2 {
-		if _, err := pl.awaitRun(taskName(0, index), 1); err != nil {
+		if _, err := pl.awaitRun(taskName(index)); err != nil {
 			return nil, err
 		}
 	}
@@ -328,24 +324,24 @@
 		}
 	}
 	time.Sleep(30 * time.Second)
-	return append(pl.awayFor(3*time.Second, 2), cl.breaks()...), nil
+	return append(pl.awayFor(2), cl.breaks()...), nil
 }
 
-// awayFor returns the tasks of the job that have no run for a time, on end and to the
-// end of the case, and whose last run ended over 6 s before.
-func (pl *play) awayFor(span time.Duration, tasks int) []string {
+// awayFor returns the tasks of the job that have no run for calmTime, to the end of the
+// case, and whose last run ended over 6 s before.
+func (pl *play) awayFor(tasks int) []string {
 	seen := map[string]bool{}
 	begin := now()
-	for until := begin.Add(span); now().Before(until); time.Sleep(pollPause) {
+	for until := begin.Add(calmTime); now().Before(until); time.Sleep(pollPause) {
 		for index := range tasks {
-			if pl.atWork(taskName(0, index)) != nil {
-				seen[taskName(0, index)] = true
+			if pl.atWork(taskName(index)) != nil {
+				seen[taskName(index)] = true
 			}
 		}
 	}
 	var out []string
 	for index := range tasks {
-		task := taskName(0, index)
+		task := taskName(index)
 		runs := pl.runsOf(task)
 		if last := runs[len(runs)-1]; !seen[task] && begin.Sub(last.ended) > 6*time.Second {
 			out = append(out, fmt.Sprintf("LOST: task %s has no run; its last, on %s, ended %.1f s ago: %s", task, last.worker, now().Sub(last.ended).Seconds(), last.how))
@@ -357,22 +353,15 @@
 // lateUpkeep makes a machine due for upkeep while the platform is unavailable for
 // five seconds, and loses the worker with the step's other task meanwhile.
 func lateUpkeep(pl *play) ([]string, error) {
-	cl := &cloud{pl: pl}
-	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
-		return nil, err
-	}
-	if err := pl.putConfig(1, route(queue)); err != nil {
-		return nil, err
-	}
-	if err := pl.startFleet(2); err != nil {
+	cl, err := pl.beginMachines(2)
+	if err != nil {
 		return nil, err
 	}
-	cl.add(pl.workers...)
 	if err := pl.submit(lasting, step(2, map[string]any{"long_running": true, "may_miss": 1, "anti_affinity": 1})); err != nil {
 		return nil, err
 	}
 	for index := range 2 {
-		if _, err := pl.awaitRun(taskName(0, index), 1); err != nil {
+		if _, err := pl.awaitRun(taskName(index)); err != nil {
 			return nil, err
 		}
 	}
@@ -498,11 +487,11 @@
 func (pl *play) missed(id string) []string {
 	var out []string
 	for index := range 2 {
-		rn := pl.atWork(taskName(0, index))
+		rn := pl.atWork(taskName(index))
 		if rn == nil || rn.worker != id {
 			continue
 		}
-		other := taskName(0, 1-index)
+		other := taskName(1 - index)
 		runs := pl.runsOf(other)
 		if len(runs) == 0 || pl.atWork(other) != nil {
 			continue
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -34,13 +34,13 @@
 // cases holds the cases by name. Each returns the breaks of its rule that it saw, or
 // an error if it could not run.
 var cases = map[string]func(pl *play) ([]string, error){
-	"worker-crashes": workerCrashes,
 	"foreign-beat":   foreignBeat,
+	"reborn-late":    rebornLate,
 	"restart-crash":  restartCrash,
 	"adviser-page":   adviserPage,
 	"blocked-upkeep": blockedUpkeep,
 	"only-machine":   onlyMachine,
-	"dropped-queue":  droppedQueue,
+	"dotted-id":      dottedID,
 	"late-upkeep":    lateUpkeep,
 }
 
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -56,8 +56,10 @@
 	// ticket is the ticket that starts have to carry; "" needs none.
 	ticket string
 
-	mu       sync.Mutex
-	up       bool
+	mu sync.Mutex
+	up bool
+	// cut is set while the worker is cut off: no call reaches it and it sends none.
+	cut      bool
 	seq      int
 	fence    uint64
 	deadline int64
@@ -82,7 +84,7 @@
 		running: map[string]*run{}, highest: map[string]int{}, changed: make(chan struct{}), stop: cancel,
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/run-start", wk.handle(wk.start))
+	mux.HandleFunc("POST /-/run-start", wk.handle(wk.takeStart))
 	mux.HandleFunc("POST /-/run-stop", wk.handle(wk.stopRun))
 	mux.HandleFunc("POST /-/hold", wk.handle(wk.hold))
 	mux.HandleFunc("POST /-/pace", wk.handle(func(order) (int, map[string]any) { return http.StatusOK, map[string]any{} }))
@@ -100,7 +102,9 @@
 	ticker := time.NewTicker(heartbeatMS * time.Millisecond)
 	defer ticker.Stop()
 	for wk.alive() {
-		wk.announce()
+		if !wk.isCut() {
+			wk.announce()
+		}
 		<-ticker.C
 	}
 }
@@ -131,6 +135,19 @@
 	return wk.up
 }
 
+func (wk *worker) isCut() bool {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return wk.cut
+}
+
+func (wk *worker) setCut(cut bool) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.cut = cut
+	wk.pl.rec.note("worker %s cut off: %v", wk.id, cut)
+}
+
 // clock returns the worker's own clock in milliseconds.
 func (wk *worker) clock() int64 { return 1000 + now().Sub(wk.started).Milliseconds() }
 
@@ -211,24 +228,49 @@
 			wr.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		wk.mu.Lock()
-		defer wk.mu.Unlock()
-		status, body := http.StatusConflict, map[string]any{"reason": "fence"}
-		if od.Fence >= wk.fence {
-			wk.fence = od.Fence
-			wk.deadline = max(wk.deadline, min(od.Deadline, wk.clock()+holdMaxMS))
-			status, body = do(od)
+		if wk.isCut() {
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
 		}
-		if !wk.up {
-			panic(http.ErrAbortHandler) // a worker that has crashed answers nothing
+		status, body := wk.apply(od, do)
+		if status == 0 || wk.isCut() {
+			<-req.Context().Done() // no answer
+		}
+		if status == 0 || !wk.alive() {
+			panic(http.ErrAbortHandler)
 		}
-		body["clock_ms"] = wk.clock()
 		wr.Header().Set("Content-Type", "application/json")
 		wr.WriteHeader(status)
 		_ = json.NewEncoder(wr).Encode(body)
 	}
 }
 
+// apply checks the fencing token of an order, takes its deadline and carries it out. A
+// status of 0 means that it is not answered.
+func (wk *worker) apply(od order, do func(od order) (int, map[string]any)) (int, map[string]any) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	status, body := http.StatusConflict, map[string]any{"reason": "fence"}
+	if od.Fence >= wk.fence {
+		wk.fence = od.Fence
+		wk.deadline = max(wk.deadline, min(od.Deadline, wk.clock()+holdMaxMS))
+		status, body = do(od)
+	}
+	if status != 0 {
+		body["clock_ms"] = wk.clock()
+	}
+	return status, body
+}
+
+// takeStart carries out a start, unless the case lets this one go unanswered and be
+// carried out late.
+func (wk *worker) takeStart(od order) (int, map[string]any) {
+	if wk.pl.keepLate(wk.id, od) {
+		return 0, nil
+	}
+	return wk.start(od)
+}
+
 func (wk *worker) start(od order) (int, map[string]any) {
 	refuse := func(reason string) (int, map[string]any) {
 		wk.pl.rec.note("worker %s refuses task %s run %d: %s", wk.id, od.Task, od.Run, reason)
@@ -304,8 +346,8 @@
 // jobOf returns the id of a task's job.
 func jobOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
 
-// taskName returns the name of a task of the case's job.
-func taskName(step, index int) string { return fmt.Sprintf("%s.0.%d.%d", oneJob, step, index) }
+// taskName returns the name of a task of the first step of the case's job.
+func taskName(index int) string { return fmt.Sprintf("%s.0.0.%d", oneJob, index) }
 
 // otherTask is the only task of a second job.
 const otherTask = otherJob + ".0.0.0"
