--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
 . "$(dirname "$0")/../fleet-3.sh"
-play_case reborn-late "$(cd "$(dirname "$0")" && pwd)"
+play_case reborn-noted "$(cd "$(dirname "$0")" && pwd)"
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -139,6 +140,99 @@
 	return pl.doubles(taskName(0)), nil
 }
 
+// rebornNoted is like rebornLate with a short task, which ends on the new life before the
+// leader starts it elsewhere, and a late call to hold that acknowledges an end of the life
+// before.
+func rebornNoted(pl *play) ([]string, error) {
+	if err := pl.begin(); err != nil {
+		return nil, err
+	}
+	time.Sleep(10 * time.Second)
+	pl.mu.Lock()
+	pl.lateHoldNext = pl.trouble
+	pl.mu.Unlock()
+	if err := pl.submitJob(otherJob, "500ms", step(1, map[string]any{"estimated_ms": 500})); err != nil {
+		return nil, err
+	}
+	for until := now().Add(startMax); now().Before(until) && !pl.ended(otherTask); {
+		time.Sleep(pollPause)
+	}
+	time.Sleep(2 * pollPause)
+	pl.mu.Lock()
+	pl.lateNext = pl.trouble
+	pl.mu.Unlock()
+	if err := pl.submit("700ms", step(1, map[string]any{"estimated_ms": 700})); err != nil {
+		return nil, err
+	}
+	if pl.trouble {
+		if err := pl.rebirth(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(8 * time.Second)
+	return append(pl.doubles(taskName(0)), pl.startsAfterDone(taskName(0))...), nil
+}
+
+// rebirth cuts off the worker that a start was sent to, and has it crash, start again
+// and carry out both late calls.
+func (pl *play) rebirth() error {
+	od, id, err := pl.awaitLate()
+	if err != nil {
+		return err
+	}
+	sent := now()
+	after := func(span time.Duration) { time.Sleep(sent.Add(span).Sub(now())) }
+	wk := pl.worker(id)
+	after(100 * time.Millisecond)
+	wk.setCut(true)
+	after(500 * time.Millisecond)
+	wk.crash()
+	after(1200 * time.Millisecond)
+	next, err := pl.startWorker(wk.id, wk.machine, wk.addr)
+	if err != nil {
+		return err
+	}
+	next.setCut(true)
+	after(2100 * time.Millisecond)
+	status, _ := next.apply(*od, next.start)
+	pl.rec.note("worker %s carries out the late start of task %s run %d: %d", id, od.Task, od.Run, status)
+	after(3200 * time.Millisecond)
+	pl.mu.Lock()
+	hold := pl.lateHold
+	pl.mu.Unlock()
+	if hold == nil {
+		return errors.New("no call to hold acknowledged an end")
+	}
+	hold.Wait = 0
+	status, _ = next.apply(*hold, next.hold)
+	pl.rec.note("worker %s carries out the late hold with ack_cursor %d: %d", id, hold.Ack, status)
+	after(5600 * time.Millisecond)
+	next.setCut(false)
+	go next.announceLoop()
+	return nil
+}
+
+// ended reports whether a run of a task has ended.
+func (pl *play) ended(task string) bool {
+	runs := pl.runsOf(task)
+	return len(runs) > 0 && !runs[0].ended.IsZero()
+}
+
+// startsAfterDone returns the runs of a task that started after another had ended done,
+// if that end was taken note of.
+func (pl *play) startsAfterDone(task string) []string {
+	var out []string
+	runs := pl.runsOf(task)
+	for _, one := range runs {
+		for _, other := range runs {
+			if one.how == "done" && one.noted && other.started.After(one.ended) {
+				out = append(out, fmt.Sprintf("TWICE: run %d on %s of task %s started after run %d on %s had ended done, which was taken note of", other.number, other.worker, task, one.number, one.worker))
+			}
+		}
+	}
+	return out
+}
+
 // restartCrash kills the worker of a task that lasts. It starts again under its id,
 // announces itself, and is lost for good.
 func restartCrash(pl *play) ([]string, error) {
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -35,6 +35,7 @@
 // an error if it could not run.
 var cases = map[string]func(pl *play) ([]string, error){
 	"foreign-beat":   foreignBeat,
+	"reborn-noted":   rebornNoted,
 	"reborn-late":    rebornLate,
 	"restart-crash":  restartCrash,
 	"adviser-page":   adviserPage,
--- a/review/rig3/play.go
+++ b/review/rig3/play.go
@@ -38,8 +38,12 @@
 	// lateNext is set if the next start is left unanswered; late is that start and
 	// lateAt the worker that it was sent to.
 	lateNext bool
-	late     *order
-	lateAt   string
+	// lateHoldNext and lateHold are the same for the next call to hold that acknowledges
+	// an end.
+	lateHoldNext bool
+	lateHold     *order
+	late         *order
+	lateAt       string
 	// cpu is what a task of each job requests.
 	cpu map[string]int
 }
@@ -106,6 +110,37 @@
 	return true
 }
 
+// keepLateHold keeps a call to hold that is left unanswered.
+func (pl *play) keepLateHold(id string, od order) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	if !pl.lateHoldNext || od.Ack == 0 {
+		return false
+	}
+	pl.lateHoldNext, pl.lateHold = false, &od
+	pl.rec.note("worker %s leaves a hold with ack_cursor %d unanswered", id, od.Ack)
+	return true
+}
+
+// numberEnd records the number of a run's end in its worker's list.
+func (pl *play) numberEnd(rn *run, number int64) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	rn.end = number
+}
+
+// noteEnds records which ends of a worker's life an acknowledgement reaches.
+func (pl *play) noteEnds(wk *worker, ack int64) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, rn := range pl.runs {
+		if rn.worker == wk.id && rn.born == wk.born && rn.end != 0 && rn.end <= ack && !rn.noted {
+			rn.noted = true
+			pl.rec.note("worker %s: the end of task %s run %d is taken note of", wk.id, rn.task, rn.number)
+		}
+	}
+}
+
 // awaitLate waits for the start that is left unanswered.
 func (pl *play) awaitLate() (*order, string, error) {
 	for until := now().Add(startMax); now().Before(until); time.Sleep(pollPause) {
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -31,7 +31,11 @@
 	task    string
 	number  int
 	worker  string
+	born    int64
 	lasting bool
+	// number of its end in the worker's list, and whether that was acknowledged.
+	end     int64
+	noted   bool
 	span    time.Duration
 	cpu     int
 	started time.Time
@@ -86,7 +90,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", wk.handle(wk.takeStart))
 	mux.HandleFunc("POST /-/run-stop", wk.handle(wk.stopRun))
-	mux.HandleFunc("POST /-/hold", wk.handle(wk.hold))
+	mux.HandleFunc("POST /-/hold", wk.handle(wk.takeHold))
 	mux.HandleFunc("POST /-/pace", wk.handle(func(order) (int, map[string]any) { return http.StatusOK, map[string]any{} }))
 	mux.HandleFunc("GET /health", func(wr http.ResponseWriter, _ *http.Request) { wr.WriteHeader(http.StatusOK) })
 	wk.server = &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout}
@@ -178,6 +182,7 @@
 	wk.highest[rn.task] = max(wk.highest[rn.task], rn.number)
 	wk.pl.endRun(rn, how)
 	wk.ends++
+	wk.pl.numberEnd(rn, wk.ends)
 	wk.ended = append(wk.ended, []any{wk.ends, rn.task, rn.number, how, ""})
 	close(wk.changed)
 	wk.changed = make(chan struct{})
@@ -294,7 +299,7 @@
 	case used+cpu > workerCPU:
 		return refuse("room")
 	}
-	rn := &run{task: od.Task, number: od.Run, worker: wk.id, lasting: od.Spec == lasting, cpu: cpu, started: now()}
+	rn := &run{task: od.Task, number: od.Run, worker: wk.id, born: wk.born, lasting: od.Spec == lasting, cpu: cpu, started: now()}
 	wk.running[od.Task] = rn
 	if span, err := time.ParseDuration(od.Spec); err == nil {
 		rn.span = span
@@ -318,8 +323,18 @@
 	return http.StatusOK, map[string]any{}
 }
 
+// takeHold carries out a call to hold, unless the case lets this one go unanswered and be
+// carried out late.
+func (wk *worker) takeHold(od order) (int, map[string]any) {
+	if wk.pl.keepLateHold(wk.id, od) {
+		return 0, nil
+	}
+	return wk.hold(od)
+}
+
 // hold renews the lease, forgets acknowledged ends and waits for an end.
 func (wk *worker) hold(od order) (int, map[string]any) {
+	wk.pl.noteEnds(wk, od.Ack)
 	for len(wk.ended) > 0 && wk.ended[0].([]any)[0].(int64) <= od.Ack {
 		wk.ended = wk.ended[1:]
 	}
