--- a/review/fleet-3.sh
+++ b/review/fleet-3.sh
@@ -1,12 +1,13 @@
 #!/bin/bash
-# Plays a case of the third review: fleet-3.sh NAME FOLDER, or sourced for play_case.
+# Plays a case of the third review: fleet-3.sh NAME FOLDER, or sourced for play_case
+# NAME FOLDER TROUBLE. With TROUBLE 0 the case is played without its disruption.
 #
 # It starts three control processes and one entry instance with the commands of
 # deploy/system.toml, plays the case against them, writes FOLDER/record.txt and ends
 # all of them by their ids.
 
 play_case() {
-    local name=$1 root node code
+    local name=$1 trouble=$3 root node code
     here=$(cd "$2" && pwd) || exit 2
     root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
     cd "$root" || exit 2
@@ -23,7 +24,7 @@
     done
     GREENGAGEWEIR_CONFIG=$dir/edge-1.json target/greengageweir platform-entry >"$dir/edge-1.log" 2>&1 &
     pids="$pids $!"
-    timeout 110 "$rig" --case "$name" --dir "$dir" --record "$here/record.txt" --trouble "${TROUBLE:-1}"
+    timeout 110 "$rig" --case "$name" --dir "$dir" --record "$here/record.txt" --trouble "$trouble"
     code=$?
     [ "$code" -le 2 ] || code=2
     [ -n "${KEEP_LOGS:-}" ] && cp "$dir"/*.log "$KEEP_LOGS"/
@@ -31,5 +32,5 @@
 }
 
 if [ "${BASH_SOURCE[0]}" = "$0" ]; then
-    play_case "$1" "$2"
+    play_case "$1" "$2" "${TROUBLE:-1}"
 fi
--- a/review/rig3/cases.go
+++ b/review/rig3/cases.go
@@ -28,9 +28,13 @@
 	return st
 }
 
-// begin configures one queue and starts a fleet of three workers, with a platform that
-// lists no machines.
-func (pl *play) begin() error {
+// rebornFleet is the number of workers of which one is cut off: a share of 0.167, where
+// the site has 0.17.
+const rebornFleet = 6
+
+// begin configures one queue and starts a fleet of workers, with a platform that lists
+// no machines.
+func (pl *play) begin(workers int) error {
 	cl := &cloud{pl: pl}
 	if err := pl.serve(pl.ad.Cloud, cl.routes()); err != nil {
 		return err
@@ -38,7 +42,7 @@
 	if err := pl.putConfig(1, route(queue)); err != nil {
 		return err
 	}
-	return pl.startFleet(3)
+	return pl.startFleet(workers)
 }
 
 // beginMachines is begin with a platform that lists the machines of the workers.
@@ -60,7 +64,7 @@
 // foreignBeat sends one heartbeat of another writer, without the fields that
 // describe a worker, that names the address of a worker that is at work.
 func foreignBeat(pl *play) ([]string, error) {
-	if err := pl.begin(); err != nil {
+	if err := pl.begin(3); err != nil {
 		return nil, err
 	}
 	if err := pl.submit("15s", step(1, map[string]any{"estimated_ms": 15000})); err != nil {
@@ -99,7 +103,7 @@
 // rebornLate leaves one start unanswered and cuts its worker off, which crashes behind the
 // cut and starts again under its id. The start is carried out 5 s after it was sent.
 func rebornLate(pl *play) ([]string, error) {
-	if err := pl.begin(); err != nil {
+	if err := pl.begin(rebornFleet); err != nil {
 		return nil, err
 	}
 	time.Sleep(10 * time.Second)
@@ -144,7 +148,7 @@
 // leader starts it elsewhere, and a late call to hold that acknowledges an end of the life
 // before.
 func rebornNoted(pl *play) ([]string, error) {
-	if err := pl.begin(); err != nil {
+	if err := pl.begin(rebornFleet); err != nil {
 		return nil, err
 	}
 	time.Sleep(10 * time.Second)
@@ -236,7 +240,7 @@
 // restartCrash kills the worker of a task that lasts. It starts again under its id,
 // announces itself, and is lost for good.
 func restartCrash(pl *play) ([]string, error) {
-	if err := pl.begin(); err != nil {
+	if err := pl.begin(3); err != nil {
 		return nil, err
 	}
 	if err := pl.submit(lasting, step(1, map[string]any{"long_running": true})); err != nil {
@@ -378,7 +382,7 @@
 
 // dottedID hands in a job whose id has a dot, and later an ordinary job.
 func dottedID(pl *play) ([]string, error) {
-	if err := pl.begin(); err != nil {
+	if err := pl.begin(3); err != nil {
 		return nil, err
 	}
 	id := oneJob
