--- a/internal/job/scheduler/ends.go
+++ b/internal/job/scheduler/ends.go
@@ -58,10 +58,66 @@
 	})
 }
 
+// endExpiredRuns ends the runs of a worker whose leases have certainly expired, but for
+// those that an outstanding order may have begun. It reports whether there are such.
+func (sc *Scheduler) endExpiredRuns(ls *leaderState, ws *workerSession, now time.Time) (waits bool) {
+	wk := ws.worker
+	od, _ := sc.outstandingOf(ls, wk.ID)
+	var keys []weir.RunKey
+	var overAt time.Time
+	sc.Store.Read(func(rd store.Reader) {
+		for key := range rd.WorkerRuns(wk.ID) {
+			if at := od.OverAt(key.Task); at.After(overAt) {
+				overAt = at
+			}
+			if !ls.pendingStarts[key] {
+				keys = append(keys, key)
+			}
+		}
+	})
+	if !overAt.After(now) {
+		return false
+	}
+	var changes []store.Change
+	for _, key := range ws.session.Abandon(now, keys) {
+		sc.logLostRun(key, wk.ID, "lease lapsed")
+		changes = append(changes, store.Change{End: &store.RunEnd{Task: key.Task, Run: key.Run, Reason: store.EndLost, Checkpoint: ws.session.Checkpoint(key)}})
+	}
+	if !overAt.Equal(ws.keptUntil) {
+		ws.keptUntil = overAt
+		_ = sc.Logger.Log("level", "warn", "msg", "worker kept for unanswered starts", "worker", wk.ID, "runs", len(keys)-len(changes),
+			"lost", len(changes), "for", overAt.Sub(now).String())
+	}
+	if len(changes) > 0 {
+		sc.submitExpiredRuns(ws, changes)
+	}
+	return true
+}
+
+// submitExpiredRuns commits the ends of runs whose worker's leases have expired, and the
+// first time the runs that may have crashed it.
+func (sc *Scheduler) submitExpiredRuns(ws *workerSession, changes []store.Change) {
+	wk := ws.worker
+	if !ws.lapseRecorded {
+		recent, unconfirmed := ws.session.RecentStarts()
+		lapse := store.Change{Lapse: &store.WorkerCrash{ID: wk.ID, Incarnation: wk.Incarnation, Recent: recent, Unconfirmed: unconfirmed}}
+		changes = append([]store.Change{lapse}, changes...)
+	}
+	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, err error) {
+		for _, res := range results {
+			sc.HandleCrash(wk, res)
+		}
+		sc.mu.Lock()
+		ws.removalInFlight = false
+		ws.lapseRecorded = ws.lapseRecorded || err == nil
+		sc.mu.Unlock()
+	})
+}
+
 // removeExpiredWorker ends a worker incarnation whose lease has certainly
-// expired.
+// expired, once nothing that an outstanding order may have begun is left.
 func (sc *Scheduler) removeExpiredWorker(ls *leaderState, ws *workerSession, now time.Time) {
-	if ws.removalInFlight {
+	if ws.removalInFlight || sc.endExpiredRuns(ls, ws, now) {
 		return
 	}
 	wk := ws.worker
@@ -70,8 +126,10 @@
 		"announcedAgo", now.Sub(ws.announcedAt).String())
 	var changes []store.Change
 	sc.Store.Read(func(rd store.Reader) { changes = sc.leaveChanges(ls, rd, wk, "lease lapsed") })
-	leave := changes[len(changes)-1].Leave
-	leave.Recent, leave.Unconfirmed = ws.session.RecentStarts()
+	if !ws.lapseRecorded {
+		leave := changes[len(changes)-1].Leave
+		leave.Recent, leave.Unconfirmed = ws.session.RecentStarts()
+	}
 	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, _ error) {
 		for _, res := range results {
 			sc.HandleCrash(wk, res)
@@ -82,13 +140,17 @@
 	})
 }
 
+func (sc *Scheduler) logLostRun(key weir.RunKey, id weir.InstanceID, reason string) {
+	_ = sc.Logger.Log("level", "info", "msg", "run lost with its worker", "job", key.Task.Job, "task", key.Task,
+		"run", key.Run, "worker", id, "reason", reason)
+}
+
 // leaveChanges returns the changes that end a worker's incarnation. Checkpoints
 // that the worker reported for its runs are kept.
 func (sc *Scheduler) leaveChanges(ls *leaderState, rd store.Reader, wk store.Worker, reason string) []store.Change {
 	var changes []store.Change
 	for key := range rd.WorkerRuns(wk.ID) {
-		_ = sc.Logger.Log("level", "info", "msg", "run lost with its worker", "job", key.Task.Job, "task", key.Task,
-			"run", key.Run, "worker", wk.ID, "reason", reason)
+		sc.logLostRun(key, wk.ID, reason)
 	}
 	if ws := ls.sessions[wk.ID]; ws != nil && ws.worker.Incarnation == wk.Incarnation {
 		_, running := ws.session.Running()
--- a/internal/job/scheduler/explore_test.go
+++ b/internal/job/scheduler/explore_test.go
@@ -22,7 +22,7 @@
 // model workers and a model platform. They try all short sequences of events from
 // a set of states, and long random sequences: frozen, cut off and restarted
 // members, orders that are lost, late or not answered, commits of unknown outcome,
-// workers that start again under the same id, a wave, a cancellation, caps that are
+// workers that start again under the same id or are cut off, a wave, a cancellation, caps that are
 // lowered and raised.
 const (
 	// exploreDepth is the length of the sequences that are tried exhaustively.
@@ -66,6 +66,7 @@
 		if sim.machines["m"+string(wk.ID)].busyTill.IsZero() {
 			add(1, func() { sim.crashWorker(wk) }, "%s starts again", wk.ID)
 		}
+		add(2, func() { sim.cutOff[wk.ID] = !sim.cutOff[wk.ID] }, "%s cut off %v", wk.ID, !sim.cutOff[wk.ID])
 	}
 	for ix := range sim.delayed {
 		add(4, func() { sim.deliverDelayed(ix) }, "delayed order %d arrives", ix)
@@ -112,7 +113,7 @@
 		}
 	}
 	for _, wk := range sim.workers {
-		if !mb.knows(wk.ID, wk.Incarnation) && sim.machines["m"+string(wk.ID)].busyTill.IsZero() {
+		if !mb.knows(wk.ID, wk.Incarnation) && !sim.cutOff[wk.ID] && sim.machines["m"+string(wk.ID)].busyTill.IsZero() {
 			add(10, func() {
 				mb.committer.Submit([]store.Change{{Join: sim.announcement(wk)}}, func([]store.Result, error) {})
 			}, "%s announces itself to %s", wk.ID, mb.id)
@@ -218,6 +219,7 @@
 	for _, mb := range sim.members {
 		mb.frozen, mb.cut = false, false
 	}
+	clear(sim.cutOff)
 	for range 600 {
 		for len(sim.delayed) > 0 {
 			sim.deliverDelayed(0)
--- a/internal/job/scheduler/late_orders_test.go
+++ b/internal/job/scheduler/late_orders_test.go
@@ -17,23 +17,37 @@
 	weir "greengageweir"
 )
 
-// lateWorkers is the client for one model worker. While late is set, orders get no
+// lateWorkers is the client for model workers. Orders to those that are late get no
 // answer and are carried out when deliver is called.
 type lateWorkers struct {
 	weir.TaskWorkers
 
 	clk    *clock.Manual
-	worker *workermodel.Worker
-	late   bool
+	models map[weir.InstanceID]*workermodel.Worker
+	late   map[weir.InstanceID]bool
 	held   []func()
+	// inFlight is called while the next order that is not answered is in flight.
+	inFlight func()
 }
 
-func (lw *lateWorkers) order(do func()) error {
-	if lw.late {
-		lw.held = append(lw.held, do)
+func newLateWorkers(clk *clock.Manual, models ...*workermodel.Worker) *lateWorkers {
+	lw := &lateWorkers{clk: clk, models: map[weir.InstanceID]*workermodel.Worker{}, late: map[weir.InstanceID]bool{}}
+	for _, model := range models {
+		lw.models[model.ID] = model
+	}
+	return lw
+}
+
+func (lw *lateWorkers) order(id weir.InstanceID, do func(model *workermodel.Worker)) error {
+	if lw.late[id] {
+		lw.held = append(lw.held, func() { do(lw.models[id]) })
+		if inFlight := lw.inFlight; inFlight != nil {
+			lw.inFlight = nil
+			inFlight()
+		}
 		return errNoResponse
 	}
-	do()
+	do(lw.models[id])
 	return nil
 }
 
@@ -44,13 +58,18 @@
 	lw.held = nil
 }
 
-func (lw *lateWorkers) Renew(_ context.Context, _ weir.WorkerIncarnation, order weir.RenewOrder) (rep weir.WorkerReport, err error) {
-	err = lw.order(func() { rep = lw.worker.Renew(lw.clk.Now(), order) })
+func (lw *lateWorkers) Renew(_ context.Context, worker weir.WorkerIncarnation, order weir.RenewOrder) (rep weir.WorkerReport, err error) {
+	err = lw.order(worker.ID, func(model *workermodel.Worker) { rep = model.Renew(lw.clk.Now(), order) })
 	return rep, err
 }
 
-func (lw *lateWorkers) Start(_ context.Context, _ weir.WorkerIncarnation, order weir.StartOrder) (resp weir.OrderResponse, err error) {
-	err = lw.order(func() { resp = lw.worker.Start(lw.clk.Now(), order) })
+func (lw *lateWorkers) Start(_ context.Context, worker weir.WorkerIncarnation, order weir.StartOrder) (resp weir.OrderResponse, err error) {
+	err = lw.order(worker.ID, func(model *workermodel.Worker) { resp = model.Start(lw.clk.Now(), order) })
+	return resp, err
+}
+
+func (lw *lateWorkers) Stop(_ context.Context, worker weir.WorkerIncarnation, key weir.RunKey, token uint64) (resp weir.OrderResponse, err error) {
+	err = lw.order(worker.ID, func(model *workermodel.Worker) { resp = model.Stop(lw.clk.Now(), key, token) })
 	return resp, err
 }
 
@@ -69,7 +88,7 @@
 // acknowledgement forgets ends that nobody has seen, a lease on the former clock keeps
 // tasks running after the leader has given them up, a start is carried out late.
 func TestLateOrdersToNextIncarnation(t *testing.T) {
-	lw := &lateWorkers{clk: clock.NewManual(testNow), worker: workermodel.New("w0", 1, testNow)}
+	lw := newLateWorkers(clock.NewManual(testNow), workermodel.New("w0", 1, testNow))
 	sc := lw.scheduler()
 	ls := sc.newLeaderState(3)
 	open := func(incarnation int64) *session.Session {
@@ -86,34 +105,34 @@
 	}
 
 	first := open(1)
-	lw.worker.EndRun(run(first, "a"), store.EndDone)
+	lw.models["w0"].EndRun(run(first, "a"), store.EndDone)
 	first.RenewOnce(t.Context())
 	first.EndsCommitted(first.Reconcile(lw.clk.Now(), nil).Number)
-	lw.late = true
+	lw.late["w0"] = true
 	late := run(first, "late")
 	first.RenewOnce(t.Context()) // with a lease and an acknowledgement
-	lw.late = false
+	lw.late["w0"] = false
 
-	lw.worker.Restart(2, lw.clk.Now())
+	lw.models["w0"].Restart(2, lw.clk.Now())
 	second := open(2)
 	lw.clk.Advance(5 * time.Second)
 	second.RenewOnce(t.Context())
-	lw.worker.EndRun(run(second, "b"), store.EndDone)
+	lw.models["w0"].EndRun(run(second, "b"), store.EndDone)
 	key := run(second, "c")
 	lw.deliver()
-	require.NotContains(t, lw.worker.Runs, late, "the start was for the former incarnation")
+	require.NotContains(t, lw.models["w0"].Runs, late, "the start was for the former incarnation")
 
 	second.RenewOnce(t.Context())
 	out := second.Reconcile(lw.clk.Now(), []session.PlacedRun{{Key: key, Wanted: true}})
 	require.Len(t, out.Ends, 1, "the end of b was not acknowledged")
 	second.EndsCommitted(out.Number)
 
-	lw.late = true
+	lw.late["w0"] = true
 	for range 200 {
 		lw.clk.Advance(100 * time.Millisecond)
 		second.RenewOnce(t.Context())
-		lw.worker.ExpireLease(lw.clk.Now())
-		if len(lw.worker.Runs) == 0 {
+		lw.models["w0"].ExpireLease(lw.clk.Now())
+		if len(lw.models["w0"].Runs) == 0 {
 			return
 		}
 		require.False(t, second.LeaseExpired(lw.clk.Now()), "its tasks still run")
@@ -124,44 +143,27 @@
 // TestLateLeaseBeforeFirstAnswer guards against tasks that are started elsewhere while
 // a worker that took a late lease right before its first answer still runs them.
 func TestLateLeaseBeforeFirstAnswer(t *testing.T) {
-	lw := &lateWorkers{clk: clock.NewManual(testNow), worker: workermodel.New("w0", 2, testNow)}
+	lw := newLateWorkers(clock.NewManual(testNow), workermodel.New("w0", 2, testNow))
 	sc := lw.scheduler()
-	lw.late = true
-	wk := store.Worker{ID: "w0", Incarnation: 2, Restarted: true, RestartedAt: testNow}
+	lw.late["w0"] = true
+	wk := store.Worker{ID: "w0", Incarnation: 2, Restarted: true}
 	ss := sc.openSession(t.Context(), sc.newLeaderState(3), wk, lw.clk.Now()).session
 	ss.RenewOnce(t.Context())
 	lw.clk.Advance(6 * time.Second)
 	key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
-	lw.worker.Start(lw.clk.Now(), weir.StartOrder{RunKey: key, Token: 3, Until: 24 * time.Hour})
-	lw.late = false
+	lw.models["w0"].Start(lw.clk.Now(), weir.StartOrder{RunKey: key, Token: 3, Until: 24 * time.Hour})
+	lw.late["w0"] = false
 	ss.RenewOnce(t.Context())
-	lw.late = true
+	lw.late["w0"] = true
 	ss.RenewOnce(t.Context())
 	lw.clk.Advance(workermodel.HoldMax - 100*time.Millisecond)
-	lw.worker.ExpireLease(lw.clk.Now())
-	require.Contains(t, lw.worker.Runs, key)
+	lw.models["w0"].ExpireLease(lw.clk.Now())
+	require.Contains(t, lw.models["w0"].Runs, key)
 	require.False(t, ss.LeaseExpired(lw.clk.Now()))
 	lw.clk.Advance(time.Second)
 	require.True(t, ss.LeaseExpired(lw.clk.Now()), "its tasks wait no longer than for that lease")
 }
 
-// TestLateOrdersBeforeAnyAnswer guards against tasks that are started elsewhere while a
-// worker that never answered may still take late orders, and a lease with them.
-func TestLateOrdersBeforeAnyAnswer(t *testing.T) {
-	for name, tc := range map[string]struct{ ago, want time.Duration }{
-		"just restarted":                   {0, maxOrderDelay},
-		"restarted a while ago":            {5 * time.Second, maxOrderDelay - 5*time.Second},
-		"restarted long ago":               {time.Minute, 0},
-		"the time of day has jumped ahead": {-time.Minute, maxOrderDelay},
-	} {
-		t.Run(name, func(t *testing.T) {
-			sc := &Scheduler{Wall: clock.NewManual(testNow)}
-			require.Equal(t, tc.want, sc.lateOrders(store.Worker{Restarted: true, RestartedAt: testNow.Add(-tc.ago)}))
-			require.Zero(t, sc.lateOrders(store.Worker{Restarted: true}), "recorded by an earlier version")
-		})
-	}
-}
-
 // restartedWorkers answer as the next incarnation.
 type restartedWorkers struct{ *acceptingWorkers }
 
--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -87,7 +87,7 @@
 				break
 			}
 			for sp := range pj.job.Occurrences[oc] {
-				if gr, ok := sc.group(ls, pj.job, pj.queue, oc, sp); ok {
+				if gr, ok := sc.group(ls, pj.job, pj.queue, oc, sp, nil); ok {
 					waits[gr.Pool] = waits[gr.Pool].with(gr, largest[gr.Pool], wall)
 				}
 			}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -30,7 +30,7 @@
 			return
 		}
 		workers := sc.usableWorkers(ls, rd, now, jobs)
-		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers))
+		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers), ls.doubtfulTasks(now))
 		teams, pools := teamUse(rd, jobs, sc.Wall.Now())
 		starts = placement.Place(sc.Wall.Now(), groups, workers, teams, pools)
 		sc.adviseOnNewWorkers(ctx, ls, rd, groups, starts, workers)
@@ -199,7 +199,7 @@
 }
 
 // readyGroups returns the steps with tasks that may start now.
-func (sc *Scheduler) readyGroups(ctx context.Context, ls *leaderState, rd store.Reader, jobs []pendingJob, free map[weir.PoolName]spec.Resources) []placement.Group {
+func (sc *Scheduler) readyGroups(ctx context.Context, ls *leaderState, rd store.Reader, jobs []pendingJob, free map[weir.PoolName]spec.Resources, doubtful map[weir.TaskRef]bool) []placement.Group {
 	var groups []placement.Group
 	wall := sc.Wall.Now()
 	for _, dm := range jobs {
@@ -212,7 +212,7 @@
 				if !js.Spec.Steps[sp].Reserved().Fits(free[qu.Pool]) {
 					continue
 				}
-				gr, ok := sc.group(ls, js, qu, oc, sp)
+				gr, ok := sc.group(ls, js, qu, oc, sp, doubtful)
 				if !ok {
 					continue
 				}
@@ -240,9 +240,9 @@
 	return work
 }
 
-// group returns the tasks of a step that may start now; it reports false if there are
-// none.
-func (sc *Scheduler) group(ls *leaderState, js *store.JobState, qu catalog.Queue, oc, sp int) (placement.Group, bool) {
+// group returns the tasks of a step that may start now, which are none of the doubtful
+// ones; it reports false if there are none.
+func (sc *Scheduler) group(ls *leaderState, js *store.JobState, qu catalog.Queue, oc, sp int, doubtful map[weir.TaskRef]bool) (placement.Group, bool) {
 	ss := &js.Occurrences[oc][sp]
 	if ss.TasksLeft == 0 || !js.StepReady(oc, sp) {
 		return placement.Group{}, false
@@ -263,6 +263,9 @@
 		}
 		if !tk.Done {
 			ref.Index = ix
+			if doubtful[ref] {
+				continue
+			}
 			gr.Tasks = append(gr.Tasks, placement.Task{
 				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
 				Suspect: tk.Suspect(),
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -56,9 +56,6 @@
 	// grant leases: it stops when it has not heard from a majority for an
 	// election timeout, and a reply may have been in flight.
 	priorLeaderGrace = time.Second
-	// maxOrderDelay is how long a worker may take to carry out an order that it does
-	// not answer.
-	maxOrderDelay = 12 * time.Second
 	// defaultMaxLease is used if MaxLease is not set.
 	defaultMaxLease = 10 * time.Second
 )
@@ -126,8 +123,10 @@
 	// reflect.
 	workersRevision uint64
 	sessions        map[weir.InstanceID]*workerSession
-	// sessionCounts counts the sessions that were opened with each id.
-	sessionCounts map[weir.InstanceID]uint64
+	// tokens counts the fencing tokens that were used with each id, and outstanding
+	// holds the unanswered orders to it, across its sessions.
+	tokens      map[weir.InstanceID]*atomic.Uint64
+	outstanding map[weir.InstanceID]*session.Outstanding
 	// committingStarts is set while the run starts in pendingStarts are being
 	// committed.
 	committingStarts bool
@@ -164,8 +163,14 @@
 	// committed.
 	removalInFlight bool
 	// restartRecorded is set once it is, or is being, committed that another
-	// incarnation has answered.
-	restartRecorded bool
+	// incarnation has answered. settledRecorded is the same for the end of what
+	// followed from it.
+	restartRecorded, settledRecorded bool
+	// lapseRecorded is set once it is committed that the worker's leases have expired.
+	lapseRecorded bool
+	// keptUntil is until when the worker was last found to be kept for runs whose starts
+	// were not answered.
+	keptUntil time.Time
 	// announcedAt is when the worker last announced itself, sequence the number
 	// of that announcement.
 	announcedAt time.Time
@@ -370,14 +375,20 @@
 	if present == nil {
 		return
 	}
+	restarted := map[weir.InstanceID]bool{}
 	for id, ws := range ls.sessions {
 		wk, ok := present[id]
+		restarted[id] = ok && wk.Incarnation > ws.worker.Incarnation
 		if ok && wk.Incarnation == ws.worker.Incarnation && wk.Address == ws.worker.Address {
 			ws.worker = wk
 			continue
 		}
 		ws.cancel()
+		ws.session.Retire()
 		delete(ls.sessions, id)
+		if !ok && replaced(ws.worker, present) {
+			delete(ls.outstanding, id)
+		}
 		ls.forgetAdvice(id)
 		if wk.Address != ws.worker.Address {
 			sc.Workers.Forget(ws.worker.Address)
@@ -387,23 +398,92 @@
 		if ls.sessions[id] == nil {
 			ls.sessions[id] = sc.openSession(ctx, ls, wk, now)
 		}
+		if restarted[id] {
+			sc.markEarlierRuns(ls, id, now)
+		}
+	}
+	for id, od := range ls.outstanding {
+		if ls.sessions[id] == nil && od.Over(now) {
+			delete(ls.outstanding, id)
+		}
+	}
+}
+
+// markEarlierRuns tells the session with a worker that has started again which runs only
+// its former incarnation can have begun: those whose starts were answered, or never sent.
+func (sc *Scheduler) markEarlierRuns(ls *leaderState, id weir.InstanceID, now time.Time) {
+	sc.Store.Read(func(rd store.Reader) {
+		for key := range rd.WorkerRuns(id) {
+			if !ls.pendingStarts[key] && !ls.outstanding[id].Holds(key) {
+				ls.sessions[id].session.BegunEarlier(now, key)
+			}
+		}
+	})
+}
+
+// replaced reports whether another worker has the machine or the address of a worker that
+// is gone, which then cannot start again.
+func replaced(gone store.Worker, present map[weir.InstanceID]store.Worker) bool {
+	for _, wk := range present {
+		if wk.Address == gone.Address || gone.Machine != "" && wk.Machine == gone.Machine {
+			return true
+		}
+	}
+	return false
+}
+
+// outstandingOf returns the unanswered orders to a worker's id. The first time in a term,
+// these are the starts of earlier leaders that are not known to be answered, and other
+// orders of theirs that grant a lease. It reports whether it was the first time.
+func (sc *Scheduler) outstandingOf(ls *leaderState, id weir.InstanceID) (od *session.Outstanding, first bool) {
+	if od = ls.outstanding[id]; od != nil {
+		return od, false
+	}
+	od = session.NewOutstanding(sc.MaxLease)
+	lastSent := ls.since.Add(priorLeaderGrace)
+	od.LeaseSent(lastSent)
+	sc.Store.Read(func(rd store.Reader) {
+		for key := range rd.WorkerRuns(id) {
+			if !rd.Job(key.Task.Job).Task(key.Task).Answered {
+				od.StartSent(key, lastSent)
+			}
+		}
+	})
+	if ls.outstanding == nil {
+		ls.outstanding = map[weir.InstanceID]*session.Outstanding{}
+	}
+	ls.outstanding[id] = od
+	return od, true
+}
+
+// doubtfulTasks returns the tasks of which an order to a worker that does not respond may
+// still begin a run, or may have begun one that is not over.
+func (ls *leaderState) doubtfulTasks(now time.Time) map[weir.TaskRef]bool {
+	doubtful := map[weir.TaskRef]bool{}
+	for id, od := range ls.outstanding {
+		if ws := ls.sessions[id]; ws == nil || ws.session.Unreachable() {
+			od.DoubtfulTasks(now, doubtful)
+		}
 	}
+	return doubtful
 }
 
 func (sc *Scheduler) openSession(ctx context.Context, ls *leaderState, wk store.Worker, now time.Time) *workerSession {
 	ssCtx, cancel := context.WithCancel(ctx)
 	ws := &workerSession{worker: wk, cancel: cancel, announcedAt: now}
+	od, first := sc.outstandingOf(ls, wk.ID)
+	nextToken := ls.tokenSource(wk.ID)
+	longest := sc.Lease
+	if wk.Restarted && first {
+		// It may hold the longest lease from an order that was meant for another
+		// incarnation, until an earlier leader had its first answer.
+		longest = max(sc.Lease, sc.MaxLease)
+	}
 	ws.session = &session.Session{
 		Worker: weir.WorkerIncarnation{ID: wk.ID, Incarnation: wk.Incarnation, Address: wk.Address},
-		Token:  ls.nextToken(wk.ID), Restarted: wk.Restarted, Lease: sc.Lease, MaxLease: sc.MaxLease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
-		PriorLeaseExpiry: ls.since.Add(priorLeaderGrace + sc.Lease + sc.Lease/20),
-	}
-	if wk.Restarted {
-		// Orders to the incarnation before may have reached this one. Their leases are
-		// in terms of the earlier clock, which was ahead, so that this one may have
-		// taken the longest lease that it accepts. Until it has answered, it may do so
-		// for as long as such orders are under way.
-		ws.session.PriorLeaseExpiry = now.Add(sc.lateOrders(wk) + priorLeaderGrace + sc.MaxLease + sc.MaxLease/20)
+		Token:  nextToken(), NextToken: nextToken, Outstanding: od, Restarted: wk.Restarted,
+		Lease: sc.Lease, MaxLease: sc.MaxLease, Workers: sc.Workers, Leadership: sc.Leadership, Clock: sc.Clock, Logger: sc.Logger,
+		PriorLeaseExpiry: ls.since.Add(priorLeaderGrace + longest + longest/20),
 	}
 	ws.session.OnChange = func() { sc.markDirty(ws) }
 	if err := ws.session.Default(); err != nil {
@@ -417,42 +497,63 @@
 	return ws
 }
 
-// lateOrders returns how long orders to a worker's former incarnation may still be
-// under way.
-func (sc *Scheduler) lateOrders(wk store.Worker) time.Duration {
-	if wk.RestartedAt.IsZero() {
-		return 0
+// tokenBits is the number of bits of a fencing token that count the leader's tokens for
+// one id. The bits above them hold the term.
+const tokenBits = 32
+
+// tokenSource returns a function that returns a higher fencing token for a worker's id
+// with each call, and 0 once there is none left in this term.
+func (ls *leaderState) tokenSource(id weir.InstanceID) func() uint64 {
+	if ls.tokens == nil {
+		ls.tokens = map[weir.InstanceID]*atomic.Uint64{}
+	}
+	count := ls.tokens[id]
+	if count == nil {
+		count = &atomic.Uint64{}
+		ls.tokens[id] = count
+	}
+	return func() uint64 {
+		next := count.Add(1)
+		if next >= 1<<tokenBits {
+			return 0
+		}
+		return ls.term<<tokenBits | next
 	}
-	return min(max(maxOrderDelay-sc.Wall.Now().Sub(wk.RestartedAt), 0), maxOrderDelay)
 }
 
-// tokenBits is the number of bits of a fencing token that count the leader's sessions
-// with one id. The bits above them hold the term.
-const tokenBits = 16
-
-// nextToken returns the fencing token of a new session with a worker's id.
-func (ls *leaderState) nextToken(id weir.InstanceID) uint64 {
-	if ls.sessionCounts == nil {
-		ls.sessionCounts = map[weir.InstanceID]uint64{}
+// recordRestart commits that another incarnation of a worker has answered, so that a
+// later leader knows that it may hold the longest lease, and when that is over.
+func (sc *Scheduler) recordRestart(ws *workerSession, now time.Time) {
+	switch {
+	case ws.session.OtherIncarnation():
+		sc.submitRestart(ws, false, &ws.restartRecorded)
+		ws.settledRecorded = false
+	case ws.worker.Restarted && ws.session.HoldsNoLateLease(now):
+		sc.submitRestart(ws, true, &ws.settledRecorded)
+		ws.restartRecorded = false
 	}
-	ls.sessionCounts[id] = min(ls.sessionCounts[id]+session.TokensPerSession, 1<<tokenBits-session.TokensPerSession)
-	return ls.term<<tokenBits | ls.sessionCounts[id]
 }
 
-// recordRestart commits that another incarnation of a worker has answered, so that a
-// later leader knows that it may hold the longest lease.
-func (sc *Scheduler) recordRestart(ws *workerSession) {
-	if ws.restartRecorded || !ws.session.OtherIncarnation() {
+func (sc *Scheduler) submitRestart(ws *workerSession, settled bool, recorded *bool) {
+	if *recorded {
 		return
 	}
-	change := store.Change{Restart: &store.WorkerRestart{ID: ws.worker.ID, Incarnation: ws.worker.Incarnation}}
-	ws.restartRecorded = sc.Committer.Submit([]store.Change{change}, func(_ []store.Result, err error) {
+	change := store.Change{Restart: &store.WorkerRestart{ID: ws.worker.ID, Incarnation: ws.worker.Incarnation, Settled: settled}}
+	*recorded = sc.Committer.Submit([]store.Change{change}, func(_ []store.Result, err error) {
 		sc.mu.Lock()
-		ws.restartRecorded = err == nil
+		*recorded = err == nil
 		sc.mu.Unlock()
 	})
 }
 
+// recordAnswers commits that the starts of runs were answered, so that a later leader
+// need not wait for them.
+func (sc *Scheduler) recordAnswers(id weir.InstanceID, keys []weir.RunKey) {
+	if len(keys) > 0 {
+		sc.Committer.Submit([]store.Change{{Answer: &store.RunsAnswered{Worker: id, Runs: keys}}}, func([]store.Result, error) {})
+	}
+}
+
 // markDirty triggers a round that reconciles a worker. It takes no lock, since a
 // session also calls it while the scheduler holds its own.
 func (sc *Scheduler) markDirty(ws *workerSession) {
@@ -474,11 +575,13 @@
 				continue // committed, but not ordered yet
 			}
 			js := rd.Job(key.Task.Job)
-			placed = append(placed, session.PlacedRun{Key: key, Wanted: js.Wants(key) && !ls.evicted[key]})
+			placed = append(placed, session.PlacedRun{Key: key, Wanted: js.Wants(key) && !ls.evicted[key], Answered: js.Task(key.Task).Answered})
 		}
 	})
-	sc.recordRestart(ws)
+	ws.lapseRecorded = false
+	sc.recordRestart(ws, now)
 	out := ws.session.Reconcile(now, placed)
+	sc.recordAnswers(id, out.Answered)
 	for key, reason := range out.Refused {
 		sc.handleRefusal(ls, id, key, reason, now)
 	}
--- a/internal/job/scheduler/simulation_test.go
+++ b/internal/job/scheduler/simulation_test.go
@@ -35,7 +35,7 @@
 	simOrderLife  = 1500 * time.Millisecond
 	// simLateOrders is how long an order can be under way to a worker that starts again
 	// under its id meanwhile.
-	simLateOrders = maxOrderDelay
+	simLateOrders = orderDelay
 	simAttempts   = 3
 )
 
@@ -62,10 +62,12 @@
 // schedulers, and three model workers on machines of a model platform. It makes
 // one step at a time and checks the rules with each.
 type simulation struct {
-	t        *testing.T
-	clk      *clock.Manual
-	members  []*simMember
-	workers  []*workermodel.Worker
+	t       *testing.T
+	clk     *clock.Manual
+	members []*simMember
+	workers []*workermodel.Worker
+	// cutOff holds the workers that answer no order. All are carried out late.
+	cutOff   map[weir.InstanceID]bool
 	machines map[string]*simMachine
 	net      []replica.Message
 	// next is the outcome of the next order.
@@ -130,7 +132,7 @@
 
 func newJobSimulation(t *testing.T) *simulation {
 	sim := &simulation{
-		t: t, clk: clock.NewManual(testNow), machines: map[string]*simMachine{}, born: 1,
+		t: t, clk: clock.NewManual(testNow), machines: map[string]*simMachine{}, cutOff: map[weir.InstanceID]bool{}, born: 1,
 		doneRuns: map[weir.TaskRef]bool{}, doneAcked: map[weir.TaskRef]bool{}, failures: map[weir.TaskRef]int{}, crashes: map[weir.TaskRef]int{},
 	}
 	ids := []string{"c1", "c2", "c3"}
@@ -442,6 +444,9 @@
 
 func (cl *simClient) order(inc weir.WorkerIncarnation, do func(wk *workermodel.Worker) weir.OrderResponse) (weir.OrderResponse, error) {
 	var resp weir.OrderResponse
+	if cl.cutOff[inc.ID] {
+		cl.next = outcomeDelayed
+	}
 	sent := cl.clk.Now()
 	err := cl.deliver(time.Hour, func() {
 		if wk := cl.find(inc); wk != nil && (wk.Incarnation == inc.Incarnation || cl.clk.Now().Sub(sent) <= simLateOrders) {
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -25,7 +25,9 @@
 	Join    *Worker           `json:"join,omitempty"`
 	Leave   *WorkerLeave      `json:"leave,omitempty"`
 	Crash   *WorkerCrash      `json:"crash,omitempty"`
+	Lapse   *WorkerCrash      `json:"lapse,omitempty"`
 	Restart *WorkerRestart    `json:"restart,omitempty"`
+	Answer  *RunsAnswered     `json:"ans,omitempty"`
 	Start   *RunStart         `json:"st,omitempty"`
 	End     *RunEnd           `json:"end,omitempty"`
 	Forget  []spec.JobID      `json:"forget,omitempty"`
@@ -53,17 +55,15 @@
 	// delayed announcement is recognized as outdated.
 	Sequence int64 `json:"seq,omitempty"`
 	// Restarted says that an earlier incarnation had the same id, or that a later one
-	// has answered. It is set by the state, not by announcements.
+	// has answered, so that this one may hold a lease from an order to another. It is
+	// set by the state, not by announcements.
 	Restarted bool `json:"restarted,omitempty"`
-	// RestartedAt is when that became known; it is zero for restarts that an earlier
-	// version recorded.
-	RestartedAt time.Time `json:"restartedAt,omitzero"`
 }
 
 // EqualIgnoringSequence reports whether two announcements describe a worker
 // alike in all but the sequence number.
 func (wk Worker) EqualIgnoringSequence(other Worker) bool {
-	wk.Sequence, wk.Restarted, wk.RestartedAt = other.Sequence, other.Restarted, other.RestartedAt
+	wk.Sequence, wk.Restarted = other.Sequence, other.Restarted
 	return wk == other
 }
 
@@ -84,8 +84,9 @@
 }
 
 // WorkerCrash says that a worker's incarnation has ended without an order, as its
-// successor shows. Recent holds the runs that it confirmed to have started right
-// before.
+// successor shows. As a lapse it says that the leases of the incarnation have expired,
+// while other runs of it may not be over. Recent holds the runs that it confirmed to have
+// started right before.
 type WorkerCrash struct {
 	ID          weir.InstanceID `json:"id"`
 	Incarnation int64           `json:"born"`
@@ -100,6 +101,16 @@
 type WorkerRestart struct {
 	ID          weir.InstanceID `json:"id"`
 	Incarnation int64           `json:"born"`
+	// Settled says instead that the registered incarnation has answered, and holds no
+	// lease from an order to another one any more.
+	Settled bool `json:"settled,omitempty"`
+}
+
+// RunsAnswered says that the start orders of runs were answered, so that no later
+// incarnation of their worker can carry them out.
+type RunsAnswered struct {
+	Worker weir.InstanceID `json:"w"`
+	Runs   []RunKey        `json:"runs"`
 }
 
 // RunStart records the intent to start a run. It is committed before the order
--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -40,7 +40,13 @@
 			return Change{Crash: &WorkerCrash{ID: testWorker(worker, 1).ID, Incarnation: incarnation, Recent: []RunKey{key}}}
 		},
 		func() Change {
-			return Change{Restart: &WorkerRestart{ID: testWorker(worker, 1).ID, Incarnation: incarnation}}
+			return Change{Lapse: &WorkerCrash{ID: testWorker(worker, 1).ID, Incarnation: incarnation, Recent: []RunKey{key}}}
+		},
+		func() Change {
+			return Change{Restart: &WorkerRestart{ID: testWorker(worker, 1).ID, Incarnation: incarnation, Settled: rapid.Bool().Draw(rt, "settled")}}
+		},
+		func() Change {
+			return Change{Answer: &RunsAnswered{Worker: testWorker(worker, 1).ID, Runs: []RunKey{key}}}
 		},
 		func() Change { return Change{Forget: []spec.JobID{id}} },
 		func() Change {
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -35,7 +35,9 @@
 	// is recorded.
 	Worker      weir.InstanceID `json:"w,omitempty"`
 	Incarnation int64           `json:"b,omitempty"`
-	Done        bool            `json:"d,omitempty"`
+	// Answered says that the order to start the latest run was answered.
+	Answered bool `json:"an,omitempty"`
+	Done     bool `json:"d,omitempty"`
 	// Failures counts the failed runs, and FailedRun is the number of the last
 	// one. The first task of a gang holds them for the whole gang.
 	Failures  int `json:"f,omitempty"`
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -165,8 +165,12 @@
 		return st.applyLeave(at, ch.Leave)
 	case ch.Crash != nil:
 		return st.applyCrash(at, ch.Crash)
+	case ch.Lapse != nil:
+		return st.applyLapse(at, ch.Lapse)
+	case ch.Answer != nil:
+		return st.applyAnswer(ch.Answer)
 	case ch.Restart != nil:
-		return st.applyRestart(at, ch.Restart)
+		return st.applyRestart(ch.Restart)
 	case ch.Start != nil:
 		return st.applyStart(at, ch.Start)
 	case ch.End != nil:
@@ -311,7 +315,7 @@
 	case !st.withinCap(js, sa.Task):
 		return refused("the team's cap is reached")
 	}
-	tk.Run, tk.Worker, tk.Incarnation, tk.StartedAt = sa.Run, sa.Worker, sa.Incarnation, at
+	tk.Run, tk.Worker, tk.Incarnation, tk.StartedAt, tk.Answered = sa.Run, sa.Worker, sa.Incarnation, at, false
 	js.Placed++
 	st.addRun(js, sa.Task, tk)
 	st.removeFromQueue(js)
@@ -396,7 +400,7 @@
 
 func (st *state) releaseTask(at time.Time, js *JobState, rf spec.TaskRef, tk *Task) {
 	st.removeRun(js, rf, tk)
-	tk.Worker, tk.Incarnation, tk.EndedAt = "", 0, at
+	tk.Worker, tk.Incarnation, tk.EndedAt, tk.Answered = "", 0, at, false
 	js.Placed--
 }
 
--- a/internal/job/store/unknown_task_test.go
+++ b/internal/job/store/unknown_task_test.go
@@ -55,7 +55,7 @@
 		worker := rapid.SampledFrom([]weir.InstanceID{"w0", "w1", "w2", "w7"})
 		for range rapid.IntRange(1, 20).Draw(rt, "changes") {
 			rk := key.Draw(rt, "run key")
-			switch rapid.IntRange(0, 4).Draw(rt, "kind") {
+			switch rapid.IntRange(0, 6).Draw(rt, "kind") {
 			case 0, 1:
 				fx.apply(Change{Start: &RunStart{Task: rk.Task, Run: rk.Run, Worker: worker.Draw(rt, "worker"), Incarnation: 1}})
 			case 2:
@@ -64,6 +64,10 @@
 				fx.apply(Change{Crash: &WorkerCrash{ID: worker.Draw(rt, "worker"), Incarnation: 1, Recent: []RunKey{rk}}})
 			case 4:
 				fx.apply(Change{Leave: &WorkerLeave{ID: worker.Draw(rt, "worker"), Incarnation: 1, Recent: []RunKey{rk}}})
+			case 5:
+				fx.apply(Change{Lapse: &WorkerCrash{ID: worker.Draw(rt, "worker"), Incarnation: 1, Recent: []RunKey{rk}}})
+			case 6:
+				fx.apply(Change{Answer: &RunsAnswered{Worker: worker.Draw(rt, "worker"), Runs: []RunKey{rk}}})
 			}
 		}
 		data, err := fx.sr.Snapshot()
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -34,11 +34,11 @@
 	fresh := *wk
 	switch {
 	case old == nil:
-		fresh.Restarted, fresh.RestartedAt = false, time.Time{}
+		fresh.Restarted = false
 	case old.Incarnation != wk.Incarnation:
-		fresh.Restarted, fresh.RestartedAt = true, at
+		fresh.Restarted = true
 	default:
-		fresh.Restarted, fresh.RestartedAt = old.Restarted, old.RestartedAt
+		fresh.Restarted = old.Restarted
 	}
 	st.Workers[wk.ID] = &fresh
 	st.WorkerRevision++
@@ -55,29 +55,52 @@
 	}
 }
 
-func (st *state) applyRestart(at time.Time, rs *WorkerRestart) Result {
+func (st *state) applyRestart(rs *WorkerRestart) Result {
 	wk := st.Workers[rs.ID]
 	if wk == nil || wk.Incarnation != rs.Incarnation {
 		return refused("not the current incarnation")
 	}
 	fresh := *wk
-	fresh.Restarted, fresh.RestartedAt = true, at
+	fresh.Restarted = !rs.Settled
 	st.Workers[rs.ID] = &fresh
 	st.WorkerRevision++
 	return applied
 }
 
+func (st *state) applyAnswer(an *RunsAnswered) Result {
+	for _, key := range an.Runs {
+		if _, here := st.Runs[an.Worker][key]; here {
+			st.Jobs[key.Task.Job].Task(key.Task).Answered = true
+		}
+	}
+	return applied
+}
+
+// applyLapse records the runs that may have crashed a worker whose leases have expired.
+// The worker stays until the runs that its unanswered orders may begin are over.
+func (st *state) applyLapse(at time.Time, cr *WorkerCrash) Result {
+	wk := st.Workers[cr.ID]
+	if wk == nil || wk.Incarnation != cr.Incarnation {
+		return refused("not the current incarnation")
+	}
+	return st.recordLapse(at, wk, cr.Recent, cr.Unconfirmed)
+}
+
+func (st *state) recordLapse(at time.Time, wk *Worker, recent, unconfirmed []RunKey) Result {
+	if len(recent)+len(unconfirmed) == 0 || wk.Machine == "" || !st.unplanned(wk) {
+		return applied
+	}
+	lp := st.lastStarted(wk, recent, unconfirmed)
+	st.Lapsed[wk.Machine] = lp
+	return st.recordCrash(at, st.provenIn(lp))
+}
+
 func (st *state) applyLeave(at time.Time, lv *WorkerLeave) Result {
 	wk := st.Workers[lv.ID]
 	if wk == nil || wk.Incarnation != lv.Incarnation {
 		return refused("not the current incarnation")
 	}
-	res := applied
-	if len(lv.Recent)+len(lv.Unconfirmed) > 0 && wk.Machine != "" && st.unplanned(wk) {
-		lp := st.lastStarted(wk, lv.Recent, lv.Unconfirmed)
-		st.Lapsed[wk.Machine] = lp
-		res = st.recordCrash(at, st.provenIn(lp))
-	}
+	res := st.recordLapse(at, wk, lv.Recent, lv.Unconfirmed)
 	st.removeWorker(at, wk)
 	if lv.Departed {
 		st.recordDeparture(at, lv)
--- a/internal/task/session/next_incarnation_test.go
+++ b/internal/task/session/next_incarnation_test.go
@@ -90,7 +90,7 @@
 	ss.Start(weir.StartOrder{RunKey: key})
 	require.True(t, ss.SendNext(t.Context()))
 	require.Equal(t, []uint64{8}, fw.tokens)
-	require.Equal(t, uint64(9), ss.token())
+	require.Equal(t, uint64(9), ss.currentToken())
 	out := ss.Reconcile(ss.Clock.Now(), []PlacedRun{{Key: key, Wanted: true}})
 	require.Contains(t, out.Refused, key)
 }
--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,22 +39,35 @@
 	ss.OnChange()
 }
 
-func (ss *Session) sendStart(ctx context.Context, order weir.StartOrder) {
+// prepareStart sets the token and the lease of a start that is about to be sent. It
+// returns nil if the start must not be sent.
+func (ss *Session) prepareStart(order *weir.StartOrder, now time.Time) *runState {
 	ss.mu.Lock()
+	defer ss.mu.Unlock()
 	rn := ss.runs[order.RunKey]
-	skip := rn == nil || rn.unwanted || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero()
-	sentAt := ss.Clock.Now()
-	if !skip {
-		rn.sentAt = sentAt
-		order.Token = ss.tokenLocked()
-		order.Until = ss.grantLease(sentAt)
+	if rn == nil || rn.unwanted || rn.abandoned || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero() || ss.suspect(now) {
+		return nil
 	}
-	ss.mu.Unlock()
-	if skip {
+	if ss.unansweredAcks > 0 && !ss.raiseToken() {
+		return nil
+	}
+	rn.sentAt = now
+	order.Token = ss.token
+	order.Until = ss.grantLease(now)
+	ss.Outstanding.StartSent(order.RunKey, now)
+	ss.orderSent(now)
+	return rn
+}
+
+func (ss *Session) sendStart(ctx context.Context, order weir.StartOrder) {
+	sentAt := ss.Clock.Now()
+	rn := ss.prepareStart(&order, sentAt)
+	if rn == nil {
 		ss.markNotSent(order.RunKey)
 		return
 	}
 	if !ss.Leadership.IsLeader() {
+		ss.Outstanding.StartAnswered(order.RunKey)
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -62,16 +76,24 @@
 	now := ss.Clock.Now()
 	metrics.GetOrCreateHistogram("weir_worker_start_seconds").Update(now.Sub(sentAt).Seconds())
 	ss.mu.Lock()
-	if err == nil {
+	switch {
+	case err == nil:
+		ss.orderAnswered()
 		rn.answeredAt = now
 		rn.refusal = ans.Refusal
-		if ans.Refusal == weir.RefusedFenced && order.Token < ss.tokenLocked() {
+		if ans.Refusal == weir.RefusedFenced && order.Token < ss.token {
 			// The session has used a higher token since; the run never started.
 			rn.refusal = weir.RefusedStale
 		}
 		ss.updateClock(ans.Clock, sentAt)
 		rn.byNext = ss.otherIncarnation
-	} else {
+		if !rn.byNext || ans.Refusal != weir.RefusedNone {
+			ss.Outstanding.StartAnswered(order.RunKey)
+		}
+	case errors.Is(err, weir.ErrNotSent):
+		rn.notSent = true
+		ss.Outstanding.StartAnswered(order.RunKey)
+	default:
 		// The worker may still execute the order, so the zero time makes decide
 		// stop the run before its task is placed again.
 		rn.sentAt = time.Time{}
@@ -100,9 +122,11 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		ans, err := ss.Workers.Stop(callCtx, ss.Worker, key, ss.token())
+		token := ss.currentToken()
+		ans, err := ss.Workers.Stop(callCtx, ss.Worker, key, token)
 		if err == nil && ans.Refusal == weir.RefusedNone {
 			ss.mu.Lock()
+			ss.orderAnswered()
 			rn.stopAckedAt = ss.Clock.Now()
 			_, listed := ss.lastReport.running[key]
 			ss.mu.Unlock()
@@ -111,11 +135,28 @@
 			}
 			return
 		}
+		if err == nil && ans.Refusal == weir.RefusedFenced {
+			ss.retryFencedStop(rn, token)
+		}
 		_ = ss.Logger.Log("level", "warn", "msg", "stop not confirmed", "job", key.Task.Job, "task", key.Task,
 			"run", key.Run, "worker", ss.Worker.ID, "refusal", string(ans.Refusal), "err", err)
 	})
 }
 
+// retryFencedStop lets a stop order be sent again at once if the session has raised its
+// token since.
+func (ss *Session) retryFencedStop(rn *runState, token uint64) {
+	ss.mu.Lock()
+	raised := token < ss.token
+	if raised {
+		rn.stopSentAt = time.Time{}
+	}
+	ss.mu.Unlock()
+	if raised {
+		ss.OnChange()
+	}
+}
+
 // Throttle queues the order to limit a run to a share of its speed, 0 to 100
 // percent.
 func (ss *Session) Throttle(key weir.RunKey, percent int) {
@@ -125,7 +166,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		if _, err := ss.Workers.Throttle(callCtx, ss.Worker, key, percent, ss.token()); err != nil {
+		if _, err := ss.Workers.Throttle(callCtx, ss.Worker, key, percent, ss.currentToken()); err != nil {
 			_ = ss.Logger.Log("level", "warn", "msg", "speed limit not confirmed", "task", key.Task, "run", key.Run,
 				"worker", ss.Worker.ID, "percent", percent, "err", err)
 		}
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,14 +10,37 @@
 	weir "greengageweir"
 )
 
+// errFenced is logged for a renewal that a later leader's orders have made invalid.
+var errFenced = errors.New("renewal was fenced")
+
 // renew sends one renewal, applies the report and waits until its new ends are
 // committed. It reports whether the next renewal may follow without a delay.
 func (ss *Session) renew(ctx context.Context) bool {
+	ss.awaitStarts(ctx)
 	answered, fresh := ss.RenewOnce(ctx)
 	if fresh {
 		ss.awaitCommit(ctx)
 	}
-	return answered
+	return answered && !ss.ackWithheld()
+}
+
+// awaitStarts waits up to ackPatience for the answers to starts, if ends are to be
+// acknowledged.
+func (ss *Session) awaitStarts(ctx context.Context) {
+	for range ackPatience / ackPollInterval {
+		if !ss.ackWithheld() || ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, ackPollInterval)
+	}
+}
+
+// ackWithheld reports whether the worker lists ends that it cannot be told to forget yet.
+// It answers renewals at once until it has forgotten them.
+func (ss *Session) ackWithheld() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.ackDue() && ss.startUnresolved()
 }
 
 // RenewOnce sends one renewal and applies the report. fresh is set if the report
@@ -31,8 +55,9 @@
 		return false, false
 	}
 	sentAt := ss.Clock.Now()
-	order := weir.RenewOrder{Token: ss.tokenLocked(), Acknowledged: ss.acknowledgement(), Wait: renewWait}
+	order := weir.RenewOrder{Token: ss.token, Acknowledged: ss.acknowledgement(), Wait: renewWait}
 	first := ss.clockSentAt.IsZero()
+	leaseAnswered := func() {}
 	switch {
 	case first || !ss.unreachableSince.IsZero():
 		// Grant no lease while the worker's clock is unknown or the worker is
@@ -41,6 +66,10 @@
 		order.Wait = 0
 	case !ss.otherIncarnation:
 		order.Until = ss.grantLease(sentAt)
+		leaseAnswered = ss.Outstanding.LeaseSent(sentAt)
+	}
+	if order.Acknowledged > 0 {
+		ss.unansweredAcks++
 	}
 	ss.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, order.Wait+renewGrace)
@@ -50,9 +79,19 @@
 		return false, false
 	}
 	if err != nil {
+		if errors.Is(err, weir.ErrNotSent) {
+			leaseAnswered()
+		}
 		ss.renewFailed(err)
 		return false, false
 	}
+	leaseAnswered()
+	if rep.Fenced {
+		return ss.renewalFenced(order.Token), false
+	}
+	if order.Acknowledged > 0 {
+		ss.ackAnswered(order.Token)
+	}
 	fresh = ss.applyReport(sentAt, order.Acknowledged, rep)
 	if fresh || first {
 		ss.OnChange()
@@ -60,13 +99,32 @@
 	return true, fresh
 }
 
+// renewalFenced handles a renewal that the worker refused for its token. It reports
+// whether the session has raised the token itself since it sent the renewal.
+func (ss *Session) renewalFenced(token uint64) bool {
+	if token == ss.currentToken() {
+		ss.renewFailed(errFenced)
+		return false
+	}
+	return true
+}
+
+// ackAnswered records that an acknowledgement with the given token was answered.
+func (ss *Session) ackAnswered(token uint64) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if token == ss.token {
+		ss.unansweredAcks--
+	}
+}
+
 // requestReport requests a report without waiting for an end, while a renewal
 // may still be held by the worker.
 func (ss *Session) requestReport(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	ss.mu.Lock()
-	order := weir.RenewOrder{Token: ss.tokenLocked(), Acknowledged: ss.acknowledgement()}
+	order := weir.RenewOrder{Token: ss.token}
 	ss.mu.Unlock()
 	sentAt := ss.Clock.Now()
 	rep, err := ss.Workers.Renew(callCtx, ss.Worker, order)
@@ -74,6 +132,9 @@
 		_ = ss.Logger.Log("level", "debug", "msg", "report request failed", "worker", ss.Worker.ID, "err", err)
 		return
 	}
+	if rep.Fenced {
+		return
+	}
 	ss.applyReport(sentAt, order.Acknowledged, rep)
 	ss.OnChange()
 }
@@ -102,6 +163,7 @@
 	if ss.closed {
 		return false
 	}
+	ss.orderAnswered()
 	if rep.Incarnation != 0 && rep.Incarnation != ss.Worker.Incarnation {
 		ss.markOtherIncarnation()
 		return true
@@ -113,11 +175,15 @@
 	}
 	if ss.Restarted && !ss.answered {
 		// It may have taken the longest lease from a late order right before. From now on
-		// it takes none, so that this bound replaces PriorLeaseExpiry.
-		ss.leaseExpiry = ss.Clock.Now().Add(slowestSpan(ss.MaxLease))
+		// it takes none.
+		ss.lateLeaseExpiry = ss.Outstanding.lateLeaseExpiry(ss.Clock.Now())
+		ss.extendLeaseExpiry(ss.lateLeaseExpiry)
 	}
 	ss.answered = true
-	ss.forgottenEnd = max(ss.forgottenEnd, acknowledged)
+	ss.Outstanding.ReportRequested(sentAt)
+	if len(rep.Ends) == 0 || rep.Ends[0].Number > acknowledged {
+		ss.forgottenEnd = max(ss.forgottenEnd, acknowledged)
+	}
 	if !ss.unreachableSince.IsZero() {
 		_ = ss.Logger.Log("level", "info", "msg", "worker reachable again", "worker", ss.Worker.ID)
 		ss.unreachableSince = time.Time{}
@@ -130,6 +196,7 @@
 	ss.lastReport = report{sentAt: sentAt, recvAt: ss.Clock.Now(), running: make(map[weir.RunKey]weir.RunningTask, len(rep.Running)), complete: len(rep.Ends) < maxListedEnds}
 	for _, rt := range rep.Running {
 		ss.lastReport.running[rt.RunKey] = rt
+		ss.Outstanding.StartAnswered(rt.RunKey)
 		if rn := ss.runs[rt.RunKey]; rn != nil {
 			rn.listedAt = ss.lastReport.recvAt
 		}
@@ -147,6 +214,7 @@
 	for _, en := range ends {
 		if en.Number > newest {
 			ss.ends = append(ss.ends, en)
+			ss.Outstanding.StartAnswered(en.RunKey)
 			newest = en.Number
 			fresh = true
 		}
@@ -158,8 +226,11 @@
 // the longest lease from orders that were meant for this one, whose clock was ahead.
 // Call it with the lock held.
 func (ss *Session) markOtherIncarnation() {
+	if !ss.otherIncarnation {
+		ss.raiseToken()
+	}
 	ss.otherIncarnation, ss.otherSeenAt = true, ss.Clock.Now()
-	ss.extendLeaseExpiry(ss.otherSeenAt.Add(slowestSpan(ss.MaxLease)))
+	ss.otherExpiry = ss.otherSeenAt.Add(slowestSpan(ss.MaxLease))
 }
 
 // slowestClock returns the least that the worker's clock can show when it receives
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -61,8 +61,18 @@
 	// crashSpan is how long before a worker falls silent a run may have been
 	// started that crashed it. A silent worker is noticed within a renewal.
 	crashSpan = 2 * time.Second
-	// TokensPerSession is how many fencing tokens from Token on a session may use.
-	TokensPerSession = 2
+	// suspectAfter is how long an order may be unanswered before the worker gets no
+	// further starts until it answers. Each of them would have to be waited for.
+	suspectAfter = 100 * time.Millisecond
+	// ackPatience is how long an acknowledgement waits for the answers to starts.
+	ackPatience = 50 * time.Millisecond
+	// ackPollInterval is how often such an acknowledgement looks for them.
+	ackPollInterval = 5 * time.Millisecond
+	// answerRecordDelay is how long after its start was answered a run is recorded as
+	// answered, if it is still on the worker. Most runs are over by then.
+	answerRecordDelay = 2 * time.Second
+	// answerRecordRetry is the minimum time between two attempts to record that.
+	answerRecordRetry = time.Second
 	// concurrentOrders is the number of orders in flight to one worker.
 	concurrentOrders = 3
 	// orderQueueLength bounds the queued orders. A start beyond it is not sent, and
@@ -89,6 +99,20 @@
 	unwanted    bool
 	stopSentAt  time.Time
 	stopAckedAt time.Time
+	// abandoned is set if the run was declared over without the worker.
+	abandoned bool
+	// recordAskedAt is when the caller was last asked to record that the start was
+	// answered.
+	recordAskedAt time.Time
+}
+
+// answerToRecord reports whether it is time to record that the start was answered.
+func (rn *runState) answerToRecord(now time.Time) bool {
+	at := rn.listedAt
+	if !rn.answeredAt.IsZero() && rn.refusal == weir.RefusedNone && !rn.byNext {
+		at = rn.answeredAt
+	}
+	return !at.IsZero() && now.Sub(at) >= answerRecordDelay && now.Sub(rn.recordAskedAt) >= answerRecordRetry
 }
 
 // report is the worker's response to a renewal.
@@ -104,11 +128,18 @@
 // Run.
 type Session struct {
 	Worker weir.WorkerIncarnation
-	// Token is the fencing token of all orders. It is higher than those of earlier
-	// leaders and of earlier sessions with the same id: once the worker has answered,
-	// it refuses late orders that were meant for an earlier incarnation. Once another
-	// incarnation has answered, the session uses the next token, for the same reason.
+	// Token is the first fencing token of the session, 0 if there is none left. It is higher than those of
+	// earlier leaders and of earlier sessions with the same id: once the worker has
+	// answered, it refuses late orders that were meant for an earlier incarnation. The
+	// session raises its token when another incarnation has answered, for the same
+	// reason, and before a start that follows an unanswered acknowledgement.
 	Token uint64
+	// NextToken returns a token that is higher than all before it with the same id, 0 if
+	// there is none left. It must not block; nil means that tokens count on from Token.
+	NextToken func() uint64
+	// Outstanding holds the unanswered orders to the worker's id; nil means a set of
+	// the session's own.
+	Outstanding *Outstanding
 	// Restarted says that an earlier incarnation had the same id. Until the worker
 	// has answered, it may take orders that were meant for that one.
 	Restarted bool
@@ -132,6 +163,15 @@
 	runs         map[weir.RunKey]*runState
 	ends         []weir.RunEnd // not committed yet, oldest first
 	committedEnd int64
+	// unansweredAcks counts the acknowledgements with the present token that were not
+	// answered, or not yet.
+	unansweredAcks int
+	// token is the present token. exhausted is set if no higher one is left.
+	token     uint64
+	exhausted bool
+	// unansweredSince is when the oldest order that has not been answered since the last
+	// answer was sent; zero if there is none.
+	unansweredSince time.Time
 	// forgottenEnd is the number up to which the worker has confirmed to have
 	// forgotten its ends.
 	forgottenEnd int64
@@ -142,13 +182,18 @@
 	wake       chan struct{}
 	orders     chan func(ctx context.Context)
 	lastReport report
-	// answered is set once the worker has answered a renewal.
-	answered bool
+	// answered is set once the worker has answered a renewal. lateLeaseExpiry is until
+	// when it may then hold a lease from an order to an earlier incarnation.
+	answered        bool
+	lateLeaseExpiry time.Time
 	// workerClock was read between clockSentAt and clockRecvAt, local time.
-	workerClock      time.Duration
-	clockSentAt      time.Time
-	clockRecvAt      time.Time
-	leaseExpiry      time.Time
+	workerClock time.Duration
+	clockSentAt time.Time
+	clockRecvAt time.Time
+	leaseExpiry time.Time
+	// otherExpiry is when a lease of the longest duration, counted from the last answer
+	// of another incarnation, has expired.
+	otherExpiry      time.Time
 	unreachableSince time.Time // start of failing renewals, else zero
 	otherIncarnation bool
 	// otherSeenAt is when otherIncarnation was last set.
@@ -168,7 +213,13 @@
 	ss.runs = map[weir.RunKey]*runState{}
 	ss.wake = make(chan struct{}, 1)
 	ss.orders = make(chan func(ctx context.Context), orderQueueLength)
+	ss.token = ss.Token
+	ss.exhausted = ss.Token == 0 && ss.NextToken != nil
+	if ss.Outstanding == nil {
+		ss.Outstanding = NewOutstanding(ss.MaxLease)
+	}
 	ss.leaseExpiry = ss.PriorLeaseExpiry
+	ss.extendLeaseExpiry(ss.Outstanding.inherited())
 	return nil
 }
 
@@ -218,16 +269,53 @@
 }
 
 // acknowledgement returns the number of the last end that the worker may forget, 0
-// if it has forgotten all of them. The number is sent no more often than needed: a
-// worker that starts again under its id counts its ends anew, and would forget
-// ends that nobody has seen. Call it with the lock held.
+// if it has forgotten all of them or must not be told now. The number is sent no more
+// often than needed: a worker that starts again under its id counts its ends anew, and
+// would forget ends that nobody has seen. It is therefore not sent while a start is
+// unresolved, whose run the next incarnation may have. A start that follows an unanswered
+// acknowledgement has a higher token, so that an incarnation with its run refuses the
+// acknowledgement. Call it with the lock held.
 func (ss *Session) acknowledgement() int64 {
-	if ss.committedEnd <= ss.forgottenEnd || ss.otherIncarnation {
+	if !ss.ackDue() || ss.startUnresolved() {
 		return 0
 	}
 	return ss.committedEnd
 }
 
+// ackDue reports whether the worker lists ends that it may forget.
+func (ss *Session) ackDue() bool {
+	return ss.committedEnd > ss.forgottenEnd && !ss.otherIncarnation
+}
+
+// startUnresolved reports whether the start of a run that is placed at the worker is
+// outstanding. It is resolved once the worker has confirmed a stop.
+func (ss *Session) startUnresolved() bool {
+	if ss.Outstanding.noStarts() {
+		return false
+	}
+	for key, rn := range ss.runs {
+		if rn.stopAckedAt.IsZero() && ss.Outstanding.Holds(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// raiseToken makes the next orders carry a higher token. It reports false if there is
+// none left. Call it with the lock held.
+func (ss *Session) raiseToken() bool {
+	next := ss.token + 1
+	if ss.NextToken != nil {
+		next = ss.NextToken()
+	}
+	if next == 0 {
+		ss.exhausted = true
+		return false
+	}
+	ss.token, ss.unansweredAcks = next, 0
+	return true
+}
+
 // EndsCommitted reports that the ends returned by Reconcile are committed. The
 // number is that of the last end listed by the worker among them.
 func (ss *Session) EndsCommitted(number int64) {
@@ -252,28 +340,36 @@
 	ss.committing = false
 }
 
-// token returns the fencing token of the next order.
-func (ss *Session) token() uint64 {
+// currentToken returns the fencing token of the next order.
+func (ss *Session) currentToken() uint64 {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	return ss.tokenLocked()
-}
-
-// tokenLocked is token for callers that hold the lock.
-func (ss *Session) tokenLocked() uint64 {
-	if ss.otherSeenAt.IsZero() {
-		return ss.Token
-	}
-	return ss.Token + TokensPerSession - 1
+	return ss.token
 }
 
 // Usable reports whether the worker responds and its clock is known.
 func (ss *Session) Usable() bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	return !ss.closed && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation
+	return !ss.closed && !ss.exhausted && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation && !ss.suspect(ss.Clock.Now())
+}
+
+// suspect reports whether the worker has left an order unanswered for suspectAfter and
+// has answered nothing since. Call it with the lock held.
+func (ss *Session) suspect(now time.Time) bool {
+	return !ss.unansweredSince.IsZero() && now.Sub(ss.unansweredSince) > suspectAfter
+}
+
+// orderSent and orderAnswered note that an order to which the worker responds at once was
+// sent, or answered. Call them with the lock held.
+func (ss *Session) orderSent(now time.Time) {
+	if ss.unansweredSince.IsZero() {
+		ss.unansweredSince = now
+	}
 }
 
+func (ss *Session) orderAnswered() { ss.unansweredSince = time.Time{} }
+
 // OtherIncarnation reports whether another incarnation answered last.
 func (ss *Session) OtherIncarnation() bool {
 	ss.mu.Lock()
@@ -298,11 +394,64 @@
 }
 
 // LeaseExpired reports whether the worker is unreachable and every lease granted
-// to it has certainly expired, so that nothing runs there any more.
+// to it has certainly expired, so that nothing runs there any more but what an
+// outstanding order has begun; see Outstanding.
 func (ss *Session) LeaseExpired(now time.Time) bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	return ss.closed || !ss.unreachableSince.IsZero() && now.After(ss.leaseExpiry)
+	return ss.closed || ss.leaseExpired(now)
+}
+
+func (ss *Session) leaseExpired(now time.Time) bool {
+	return !ss.unreachableSince.IsZero() && now.After(ss.leaseExpiry) && now.After(ss.otherExpiry)
+}
+
+// Abandon returns those of the given runs that are certainly over, if the worker's lease
+// has expired. Their starts are not sent any more.
+func (ss *Session) Abandon(now time.Time, keys []weir.RunKey) []weir.RunKey {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if !ss.leaseExpired(now) {
+		return nil
+	}
+	var over []weir.RunKey
+	for _, key := range keys {
+		if ss.Outstanding.OverAt(key.Task).After(now) {
+			continue
+		}
+		rn := ss.runs[key]
+		if rn == nil {
+			rn = &runState{}
+			ss.runs[key] = rn
+		}
+		rn.abandoned = true
+		over = append(over, key)
+	}
+	return over
+}
+
+// BegunEarlier records that a run was begun by a former incarnation, so that it is over
+// once a report of this one does not list it.
+func (ss *Session) BegunEarlier(now time.Time, key weir.RunKey) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.runs[key] = &runState{answeredAt: now}
+}
+
+// Retire closes the session in favor of the next one with the same id.
+func (ss *Session) Retire() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.closed = true
+	ss.Outstanding.retain(ss.leaseExpiry)
+}
+
+// HoldsNoLateLease reports whether the worker has answered, and any lease that it may
+// have taken before from an order to an earlier incarnation has expired.
+func (ss *Session) HoldsNoLateLease(now time.Time) bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.answered && !ss.otherIncarnation && now.After(ss.otherExpiry) && now.After(ss.lateLeaseExpiry)
 }
 
 // Running returns the running tasks of the last report and its arrival time.
@@ -316,6 +465,13 @@
 	return ss.lastReport.recvAt, running
 }
 
+// Checkpoint returns the checkpoint of a run in the last report, "" if there is none.
+func (ss *Session) Checkpoint(key weir.RunKey) string {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.lastReport.running[key].Checkpoint
+}
+
 // RecentStarts returns the wanted runs that the worker has not listed as ended and
 // that were started no longer than crashSpan before it fell silent: those that it
 // confirmed, and those whose orders may have arrived before the connection broke.
@@ -352,6 +508,8 @@
 	Key weir.RunKey
 	// Wanted is false if the run must be stopped.
 	Wanted bool
+	// Answered is set if it is recorded that the start was answered.
+	Answered bool
 }
 
 // Outcome holds the ends to commit after a reconciliation.
@@ -362,6 +520,8 @@
 	Number int64
 	// Refused holds the reasons of refused starts, used to place runs elsewhere.
 	Refused map[weir.RunKey]weir.Refusal
+	// Answered holds the runs to record as answered.
+	Answered []weir.RunKey
 }
 
 // Reconcile compares the runs placed at the worker with the worker's reports.
@@ -405,6 +565,10 @@
 		ss.runs[pl.Key] = rn
 	}
 	rn.unwanted = !pl.Wanted
+	if rn.answerToRecord(now) && !pl.Answered {
+		rn.recordAskedAt = now
+		out.Answered = append(out.Answered, pl.Key)
+	}
 	_, listed := ss.lastReport.running[pl.Key]
 	dec := decide(now, *rn, ss.lastReport, listed, pl.Wanted)
 	if ss.committing && (dec == decisionRefused || dec == decisionLost) {
--- a/task.go
+++ b/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -111,6 +112,9 @@
 	Running     []RunningTask
 	// Ends holds the ends that were not acknowledged yet, oldest first.
 	Ends []RunEnd
+	// Fenced says that the worker has seen a higher fencing token, so that the renewal
+	// had no effect. The lists are empty then.
+	Fenced bool `json:"Fenced,omitempty"`
 }
 
 // RenewOrder renews a worker's lease and requests its report.
@@ -131,8 +135,11 @@
 	Clock   time.Duration
 }
 
+// ErrNotSent is wrapped by errors for orders of which no byte was sent.
+var ErrNotSent = errors.New("order was not sent")
+
 // TaskWorkers sends orders to workers. An error means that the order may have
-// been executed, or may still be.
+// been executed, or may still be, unless it wraps ErrNotSent.
 type TaskWorkers interface {
 	Start(ctx context.Context, worker WorkerIncarnation, order StartOrder) (OrderResponse, error)
 	Stop(ctx context.Context, worker WorkerIncarnation, key RunKey, token uint64) (OrderResponse, error)
