fix: stop no task for a wave without a place for it

Cause: startMaintenance evicted one of several tasks of a step at one worker on the assumption that another worker takes it, and a machine stayed cordoned until its maintenance, also if that could not start. Ruled out: a lost stop, and a placement that passes over a worker (the log has one eviction and no worker that fits).

Change: a run is evicted for a wave only if another worker can take its task now, by the test that placement uses. A machine whose maintenance has been blocked for 4 s is no longer cordoned; it is evaluated each second, and cordoned again once its maintenance can start. Runs with checkpoints are evicted once the maintenance is not blocked.

TestWaveStopsNoTaskWithoutPlace (kind, rack, room, limit, policy), TestBlockedMaintenanceLeavesMachineAtWork, TestBlockedMaintenanceStopsNoCheckpointedTask and TestBlockedMachineHoldsUpNoOther fail on the code before.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -101,21 +101,26 @@
 	for _, pl := range starts {
 		placed[pl.Task.StepRef()]++
 	}
-	now := sc.Clock.Now()
 	for _, gr := range groups {
-		if ls.adviceInFlight {
-			return
-		}
-		ad := ls.advice[gr.Step]
-		if gr.AllowedWorkers == nil || ad == nil || now.Before(ad.retryAt) || placed[gr.Step] == len(gr.Tasks) {
+		if gr.AllowedWorkers == nil || placed[gr.Step] == len(gr.Tasks) {
 			continue
 		}
 		if qu, ok := rd.Queue(rd.Job(gr.Step.Job).Spec.Queue); ok && qu.Adviser != nil {
-			sc.askAdviser(ctx, ls, gr.Step, *qu.Adviser, ad.unasked(gr, workers))
+			sc.adviseOnUnasked(ctx, ls, gr, qu, workers)
 		}
 	}
 }
 
+// adviseOnUnasked queries the adviser about the workers that could take a task of the group
+// and that it was not queried about, if it has answered for the step before and is not busy.
+func (sc *Scheduler) adviseOnUnasked(ctx context.Context, ls *leaderState, gr placement.Group, qu catalog.Queue, workers []workerView) {
+	ad := ls.advice[gr.Step]
+	if ls.adviceInFlight || ad == nil || sc.Clock.Now().Before(ad.retryAt) {
+		return
+	}
+	sc.askAdviser(ctx, ls, gr.Step, *qu.Adviser, ad.unasked(gr, workers))
+}
+
 // askAdviser queries the adviser in the background about the workers with most free
 // CPU, if there are any.
 func (sc *Scheduler) askAdviser(ctx context.Context, ls *leaderState, step weir.TaskRef, settings catalog.AdviserSettings, workers []workerView) {
--- a/internal/job/scheduler/machines.go
+++ b/internal/job/scheduler/machines.go
@@ -36,12 +36,20 @@
 	since time.Time
 }
 
+// blockedMaintenance says since when the maintenance of a machine has been blocked, and
+// when that was last evaluated.
+type blockedMaintenance struct {
+	since, checkedAt time.Time
+}
+
 // machineState is what a leader knows about machines in addition to the replicated
 // state. The maps are by machine name unless stated otherwise.
 type machineState struct {
 	// cordon holds machines that get no new tasks because their maintenance is
 	// due.
 	cordon map[string]cordon
+	// blocked holds machines whose maintenance is blocked by their long-running tasks.
+	blocked map[string]blockedMaintenance
 	// lastOrderAt is when the last order for a machine was sent.
 	lastOrderAt map[string]time.Time
 	// inFlight is set while an order is sent and its response recorded.
@@ -89,7 +97,7 @@
 	}
 	return &machineState{
 		limiter: limiter,
-		cordon:  map[string]cordon{}, lastOrderAt: map[string]time.Time{}, inFlight: map[string]bool{},
+		cordon:  map[string]cordon{}, blocked: map[string]blockedMaintenance{}, lastOrderAt: map[string]time.Time{}, inFlight: map[string]bool{},
 		draining: map[string]bool{}, listed: map[string]weir.Machine{}, destinations: map[string]destination{},
 		demandHistory: map[weir.PoolName][]demandSample{}, pendingCommit: map[string]bool{}, orderedHere: map[string]bool{}, acceptedAt: map[string]time.Time{}, away: map[string]int64{}, endedIncarnation: map[string]int64{},
 	}
@@ -150,7 +158,7 @@
 		}
 		slices.Sort(numbers)
 		for _, number := range numbers {
-			sc.advanceWave(ls, rd, rd.Waves()[number], byMachine, now)
+			sc.advanceWave(ctx, ls, rd, rd.Waves()[number], byMachine, now)
 		}
 		sc.rebalance(ls, rd, byMachine, now)
 	})
--- a/internal/job/scheduler/overlapping_waves_test.go
+++ b/internal/job/scheduler/overlapping_waves_test.go
@@ -24,6 +24,14 @@
 	until   map[string]time.Time
 	done    map[string]bool // "wave machine"
 	mostFor map[int64]int
+	// rejoin registers a machine's next worker incarnation; nil means one with one core.
+	rejoin func(id weir.InstanceID, incarnation int64)
+}
+
+func newMaintenancePlatform(t *testing.T) *maintenancePlatform {
+	return &maintenancePlatform{
+		t: t, waves: map[int64]store.Wave{}, down: map[string]int64{}, until: map[string]time.Time{}, done: map[string]bool{}, mostFor: map[int64]int{},
+	}
 }
 
 const maintenanceTime = 2 * time.Second
@@ -73,6 +81,10 @@
 		id := weir.InstanceID(machine[1:])
 		delete(mp.sp.workers.down, id)
 		delete(mp.sp.workers.running, id)
+		if mp.rejoin != nil {
+			mp.rejoin(id, mp.sp.clk.Now().UnixMilli())
+			continue
+		}
 		mp.sp.join(id, mp.sp.clk.Now().UnixMilli())
 	}
 }
@@ -94,9 +106,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			mp := &maintenancePlatform{
-				t: t, waves: map[int64]store.Wave{}, down: map[string]int64{}, until: map[string]time.Time{}, done: map[string]bool{}, mostFor: map[int64]int{},
-			}
+			mp := newMaintenancePlatform(t)
 			mp.sp = newStepped(t, nil, mp)
 			for ix := range all {
 				mp.sp.join(weir.InstanceID(fmt.Sprint("w", ix)), 1)
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -247,21 +247,12 @@
 	if ss.TasksLeft == 0 || !js.StepReady(oc, sp) {
 		return placement.Group{}, false
 	}
-	step := js.Spec.Steps[sp]
-	ref := spec.TaskRef{Job: js.Spec.ID, Occurrence: oc, Step: sp}
-	gr := placement.Group{
-		Step: ref, Spec: step, Pool: qu.Pool, Team: js.Spec.Team, Priority: qu.Priority,
-		StartBy: latestStart(js.Spec, js.Accepted, qu, oc, sp), RunsByWorker: map[weir.InstanceID]int{},
-	}
-	highest := 0
+	gr := stepGroup(js, qu, oc, sp)
+	ref, step, highest := gr.Step, gr.Spec, 0
 	for ix := range ss.Tasks {
 		tk := &ss.Tasks[ix]
 		highest = max(highest, tk.Run)
-		if tk.Placed() {
-			gr.RunsByWorker[tk.Worker]++
-			continue
-		}
-		if !tk.Done {
+		if !tk.Placed() && !tk.Done {
 			ref.Index = ix
 			if doubtful[ref] {
 				continue
@@ -283,6 +274,20 @@
 	return gr, len(gr.Tasks) > 0
 }
 
+// stepGroup returns the group of a step without tasks to place.
+func stepGroup(js *store.JobState, qu catalog.Queue, oc, sp int) placement.Group {
+	gr := placement.Group{
+		Step: spec.TaskRef{Job: js.Spec.ID, Occurrence: oc, Step: sp}, Spec: js.Spec.Steps[sp], Pool: qu.Pool, Team: js.Spec.Team,
+		Priority: qu.Priority, StartBy: latestStart(js.Spec, js.Accepted, qu, oc, sp), RunsByWorker: map[weir.InstanceID]int{},
+	}
+	for ix := range js.Occurrences[oc][sp].Tasks {
+		if tk := &js.Occurrences[oc][sp].Tasks[ix]; tk.Placed() {
+			gr.RunsByWorker[tk.Worker]++
+		}
+	}
+	return gr
+}
+
 // latestStart returns when a step must start for its job to meet its objective,
 // based on the caller's estimates.
 func latestStart(jb spec.Job, accepted time.Time, qu catalog.Queue, oc, sp int) time.Time {
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"math"
 	"slices"
 	"time"
 
 	"greengageweir/internal/job/store"
+	"greengageweir/internal/schedule/placement"
 
 	weir "greengageweir"
 )
@@ -24,6 +26,12 @@
 	// extraCordoned is how many machines are cordoned beyond those that may be
 	// under maintenance, so that the next one can start at once.
 	extraCordoned = 1
+	// blockedPatience is how long a machine whose maintenance is blocked by its
+	// long-running tasks stays cordoned. They usually run elsewhere within half of it.
+	blockedPatience = 4 * time.Second
+	// blockedCheckInterval is how often it is evaluated whether the maintenance of a
+	// machine that is no longer cordoned can start.
+	blockedCheckInterval = time.Second
 	// maxLongRunningCordoned is how many machines with long-running tasks are
 	// cordoned per pool: the one that starts maintenance and the next.
 	maxLongRunningCordoned = 2
@@ -39,11 +47,13 @@
 	batchRuns   int
 	longRunning int
 	cordoned    bool
+	// stuck says that its maintenance has been blocked for longer than blockedPatience.
+	stuck bool
 }
 
 // advanceWave starts the maintenance of the machines of one wave that may start
 // now.
-func (sc *Scheduler) advanceWave(ls *leaderState, rd store.Reader, wv *store.Wave, byMachine map[string]store.Worker, now time.Time) {
+func (sc *Scheduler) advanceWave(ctx context.Context, ls *leaderState, rd store.Reader, wv *store.Wave, byMachine map[string]store.Worker, now time.Time) {
 	mst := ls.machines
 	inProgress := 0
 	var waiting []candidate
@@ -63,15 +73,55 @@
 		case ordered || mst.isAway(machine):
 			// It can be ordered once it is back.
 		default:
-			waiting = append(waiting, sc.candidate(ls, rd, machine, byMachine[machine]))
+			ca := sc.candidate(ls, rd, machine, byMachine[machine])
+			ca.stuck = sc.maintenanceStuck(ctx, ls, rd, ca, now)
+			ca.cordoned = ca.cordoned && !ca.stuck
+			waiting = append(waiting, ca)
+			continue
 		}
+		delete(mst.blocked, machine)
 	}
 	free := waveParallelism(len(waiting), wv.MaxParallel, wv.Deadline.Sub(sc.Wall.Now()), mst.shortage) - inProgress
 	sortCandidates(waiting)
 	for _, machine := range machinesToCordon(waiting, free+extraCordoned) {
 		mst.cordon[machine] = cordon{wave: wv.Number, since: now}
 	}
-	sc.startMaintenance(ls, rd, wv, waiting, free, now)
+	sc.startMaintenance(ctx, ls, rd, wv, waiting, free, now)
+}
+
+// maintenanceStuck reports whether a machine's maintenance has been blocked for longer than
+// blockedPatience. The machine is then not cordoned, so that it goes on with its work, until
+// the maintenance can start. It is blocked while its worker holds more tasks of a step than
+// may be unavailable, unless one of them can run elsewhere.
+func (sc *Scheduler) maintenanceStuck(ctx context.Context, ls *leaderState, rd store.Reader, ca candidate, now time.Time) bool {
+	mst := ls.machines
+	bl, known := mst.blocked[ca.machine]
+	if !ca.cordoned && (!known || now.Sub(bl.checkedAt) < blockedCheckInterval) {
+		return known
+	}
+	step, unavailable := sc.blockingStep(ls, rd, ca.worker)
+	movable := false
+	if step != nil {
+		_, movable = sc.movableRun(ctx, ls, rd, ca.worker, *step, now)
+	}
+	if step == nil || movable {
+		delete(mst.blocked, ca.machine)
+		return false
+	}
+	if !known {
+		bl.since = now
+	}
+	bl.checkedAt = now
+	mst.blocked[ca.machine] = bl
+	if ca.cordoned && now.Sub(bl.since) < blockedPatience {
+		return false
+	}
+	if ca.cordoned {
+		delete(mst.cordon, ca.machine)
+		_ = sc.Logger.Log("level", "info", "msg", "machine uncordoned, its maintenance is blocked", "machine", ca.machine, "worker", ca.worker,
+			"job", step.Job, "step", *step, "away", unavailable, "blockedFor", now.Sub(bl.since).String())
+	}
+	return true
 }
 
 // maintenanceDone reports whether the maintenance of a machine for a wave, which has
@@ -101,6 +151,8 @@
 	plain, longRunning := 0, map[weir.PoolName]int{}
 	for _, ca := range waiting {
 		switch {
+		case ca.stuck:
+			continue
 		case ca.longRunning > 0 && longRunning[ca.pool] < maxLongRunningCordoned:
 			longRunning[ca.pool]++
 		case ca.longRunning == 0 && plain < width:
@@ -129,7 +181,7 @@
 
 // startMaintenance commits the maintenance operation of the machines that may
 // start; the order is sent once the operation is applied to the state.
-func (sc *Scheduler) startMaintenance(ls *leaderState, rd store.Reader, wv *store.Wave, waiting []candidate, free int, now time.Time) {
+func (sc *Scheduler) startMaintenance(ctx context.Context, ls *leaderState, rd store.Reader, wv *store.Wave, waiting []candidate, free int, now time.Time) {
 	mst := ls.machines
 	for _, ca := range waiting {
 		if free <= 0 {
@@ -139,18 +191,23 @@
 		if !ok || mst.inFlight[ca.machine] || !sc.mayOrder(ls, rd, ca.machine, now) {
 			continue
 		}
-		if ca.batchRuns > 0 && (now.Sub(cd.since) < drainPeriod || sc.evictCheckpointed(ls, rd, ca.worker)) {
+		if ca.batchRuns > 0 && now.Sub(cd.since) < drainPeriod {
 			continue
 		}
 		if step, unavailable := sc.blockingStep(ls, rd, ca.worker); step != nil {
 			if now.Sub(cd.since) > drainPeriod && now.Sub(mst.waitLoggedAt) > waitLogInterval {
 				mst.waitLoggedAt = now
-				sc.evictColocated(ls, rd, ca.worker, *step)
+				if key, ok := sc.movableRun(ctx, ls, rd, ca.worker, *step, now); ok {
+					sc.evict(ls, ca.worker, key)
+				}
 				_ = sc.Logger.Log("level", "info", "msg", "maintenance blocked by unavailable tasks", "machine", ca.machine, "worker", ca.worker,
 					"wave", wv.Number, "job", step.Job, "step", step, "away", unavailable)
 			}
 			continue
 		}
+		if ca.batchRuns > 0 && sc.evictCheckpointed(ls, rd, ca.worker) {
+			continue
+		}
 		free--
 		mst.lastOrderAt[ca.machine] = time.Time{}
 		op := store.MachineOperation{Machine: ca.machine, Wave: wv.Number}
@@ -175,20 +232,45 @@
 	return left
 }
 
-// evictColocated stops one of several long-running tasks of a step at one worker,
-// so that the task runs elsewhere and fewer tasks of the step are unavailable
-// during the worker's maintenance.
-func (sc *Scheduler) evictColocated(ls *leaderState, rd store.Reader, id weir.InstanceID, step weir.TaskRef) {
+// movableRun returns one of several long-running tasks of a step at one worker that can run
+// elsewhere now, so that fewer tasks of the step are unavailable during the worker's
+// maintenance. It reports false if there is none, or if stopping it would make more tasks
+// unavailable than one.
+func (sc *Scheduler) movableRun(ctx context.Context, ls *leaderState, rd store.Reader, id weir.InstanceID, step weir.TaskRef, now time.Time) (weir.RunKey, bool) {
 	var here []weir.RunKey
 	for key := range rd.WorkerRuns(id) {
 		if key.Task.StepRef() == step {
 			here = append(here, key)
 		}
 	}
-	if len(here) < 2 || rd.Job(step.Job).Phase.Terminal() || sc.unavailable(ls, rd, id, step) > 0 {
-		return
+	js := rd.Job(step.Job)
+	if len(here) < 2 || js.Phase.Terminal() || js.Spec.Steps[step.Step].Gang || sc.unavailable(ls, rd, id, step) > 0 {
+		return weir.RunKey{}, false
+	}
+	return here[0], sc.fitsElsewhere(ctx, ls, rd, id, here[0], now)
+}
+
+// fitsElsewhere reports whether a worker other than the given one can take a run's task now.
+func (sc *Scheduler) fitsElsewhere(ctx context.Context, ls *leaderState, rd store.Reader, id weir.InstanceID, key weir.RunKey, now time.Time) bool {
+	js := rd.Job(key.Task.Job)
+	qu, ok := rd.Queue(js.Spec.Queue)
+	if !ok {
+		return false
+	}
+	gr := stepGroup(js, qu, key.Task.Occurrence, key.Task.Step)
+	workers := sc.usableWorkers(ls, rd, now, []pendingJob{{job: js, queue: qu}})
+	workers = slices.DeleteFunc(workers, func(wk workerView) bool { return wk.ID == id })
+	if qu.Adviser == nil {
+		return placement.Fits(gr, workers)
+	}
+	if gr.AllowedWorkers = sc.tickets(ctx, ls, rd, gr.Step, qu); gr.AllowedWorkers == nil {
+		return false
+	}
+	if placement.Fits(gr, workers) {
+		return true
 	}
-	sc.evict(ls, id, here[0])
+	sc.adviseOnUnasked(ctx, ls, gr, qu, workers)
+	return false
 }
 
 // evict marks a run to be stopped, so that its task is rescheduled elsewhere.
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -360,6 +360,11 @@
 	return st.Reserved().Fits(wk.Free)
 }
 
+// Fits reports whether one of the workers accepts a task of the group.
+func Fits(gr Group, workers []Worker) bool {
+	return slices.ContainsFunc(workers, func(wk Worker) bool { return wk.Pool == gr.Pool && wk.accepts(gr, gr.RunsByWorker) })
+}
+
 // chooseWorker returns the best worker for a task, nil if none accepts it.
 func chooseWorker(gr Group, tk Task, on map[weir.InstanceID]int, rack string, workers []*Worker) *Worker {
 	var best *Worker
