--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -162,9 +162,8 @@
 	// removalInFlight is set while the end of this incarnation is being
 	// committed.
 	removalInFlight bool
-	// restartRecorded is set once it is, or is being, committed that another
-	// incarnation has answered. settledRecorded is the same for the end of what
-	// followed from it.
+	// restartRecorded is set once it is, or is being, committed that another incarnation
+	// has answered, settledRecorded that no lease from an order to another one is left.
 	restartRecorded, settledRecorded bool
 	// lapseRecorded is set once it is committed that the worker's leases have expired.
 	lapseRecorded bool
--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -45,7 +45,7 @@
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	rn := ss.runs[order.RunKey]
-	if rn == nil || rn.unwanted || rn.abandoned || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero() || ss.suspect(now) {
+	if rn == nil || rn.unwanted || rn.abandoned || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero() || ss.silent(now) {
 		return nil
 	}
 	if ss.unansweredAcks > 0 && !ss.raiseToken() {
@@ -55,7 +55,7 @@
 	order.Token = ss.token
 	order.Until = ss.grantLease(now)
 	ss.Outstanding.StartSent(order.RunKey, now)
-	ss.orderSent(now)
+	ss.startSent(now)
 	return rn
 }
 
--- a/internal/task/session/outstanding_test.go
+++ b/internal/task/session/outstanding_test.go
@@ -218,7 +218,7 @@
 	rw.fails = true
 	sendStart(t, ss, "a")
 	require.True(t, ss.Usable())
-	rw.clk.Advance(suspectAfter + time.Millisecond)
+	rw.clk.Advance(silenceLimit + time.Millisecond)
 	require.False(t, ss.Usable())
 	key := sendStart(t, ss, "b")
 	require.Len(t, rw.starts, 1)
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -61,9 +61,9 @@
 	// crashSpan is how long before a worker falls silent a run may have been
 	// started that crashed it. A silent worker is noticed within a renewal.
 	crashSpan = 2 * time.Second
-	// suspectAfter is how long an order may be unanswered before the worker gets no
-	// further starts until it answers. Each of them would have to be waited for.
-	suspectAfter = 100 * time.Millisecond
+	// silenceLimit is how long a start may be unanswered before the worker gets no further
+	// ones until it answers. Each of them would have to be waited for.
+	silenceLimit = 100 * time.Millisecond
 	// ackPatience is how long an acknowledgement waits for the answers to starts.
 	ackPatience = 50 * time.Millisecond
 	// ackPollInterval is how often such an acknowledgement looks for them.
@@ -128,11 +128,11 @@
 // Run.
 type Session struct {
 	Worker weir.WorkerIncarnation
-	// Token is the first fencing token of the session, 0 if there is none left. It is higher than those of
-	// earlier leaders and of earlier sessions with the same id: once the worker has
-	// answered, it refuses late orders that were meant for an earlier incarnation. The
-	// session raises its token when another incarnation has answered, for the same
-	// reason, and before a start that follows an unanswered acknowledgement.
+	// Token is the first fencing token of the session, 0 if there is none left. It is
+	// higher than those of earlier leaders and of earlier sessions with the same id: once
+	// the worker has answered, it refuses late orders that were meant for an earlier
+	// incarnation. The session raises its token when another incarnation has answered, for
+	// the same reason, and before a start that follows an unanswered acknowledgement.
 	Token uint64
 	// NextToken returns a token that is higher than all before it with the same id, 0 if
 	// there is none left. It must not block; nil means that tokens count on from Token.
@@ -169,8 +169,8 @@
 	// token is the present token. exhausted is set if no higher one is left.
 	token     uint64
 	exhausted bool
-	// unansweredSince is when the oldest order that has not been answered since the last
-	// answer was sent; zero if there is none.
+	// unansweredSince is when the first start after the worker's last answer was sent; zero
+	// if there is none.
 	unansweredSince time.Time
 	// forgottenEnd is the number up to which the worker has confirmed to have
 	// forgotten its ends.
@@ -351,18 +351,18 @@
 func (ss *Session) Usable() bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	return !ss.closed && !ss.exhausted && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation && !ss.suspect(ss.Clock.Now())
+	return !ss.closed && !ss.exhausted && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation && !ss.silent(ss.Clock.Now())
 }
 
-// suspect reports whether the worker has left an order unanswered for suspectAfter and
+// silent reports whether the worker has left a start unanswered for silenceLimit and
 // has answered nothing since. Call it with the lock held.
-func (ss *Session) suspect(now time.Time) bool {
-	return !ss.unansweredSince.IsZero() && now.Sub(ss.unansweredSince) > suspectAfter
+func (ss *Session) silent(now time.Time) bool {
+	return !ss.unansweredSince.IsZero() && now.Sub(ss.unansweredSince) > silenceLimit
 }
 
-// orderSent and orderAnswered note that an order to which the worker responds at once was
-// sent, or answered. Call them with the lock held.
-func (ss *Session) orderSent(now time.Time) {
+// startSent records that a start was sent, orderAnswered that the worker has answered any
+// order. Call them with the lock held.
+func (ss *Session) startSent(now time.Time) {
 	if ss.unansweredSince.IsZero() {
 		ss.unansweredSince = now
 	}
