fix: let no stopped run hold up its task

Cause, by the times of its runs: the start of run 2 got no answer and was stopped by number half a second later, so that run 3 began elsewhere. When both workers were gone, run 4 waited until 22.3 s after the orders to the first one.

Change: a start counts as answered once the worker has confirmed the stop of its run and does not list it. TestStoppedStartHoldsUpNothing fails on the commit before.

--- a/internal/task/session/outstanding.go
+++ b/internal/task/session/outstanding.go
@@ -24,8 +24,9 @@
 //     whose start was not answered is over once every unanswered order that grants a
 //     lease is past its delay, and the longest lease has expired after that.
 //   - An incarnation that has answered an order with a higher token refuses those with
-//     lower ones, and its report says which runs it has. That holds for this incarnation
-//     only: one that starts after it may still carry them out.
+//     lower ones, and its report says which runs it has. A run that it was told to stop and
+//     does not list is over, though an incarnation that starts after it may still carry out
+//     the start: waiting for that would hold up the task beside a sound worker.
 //
 // Orders of earlier leaders are outstanding unless the replicated state says that the
 // start was answered. They count from the election, on this process's clock.
@@ -62,8 +63,8 @@
 	od.starts[key] = at
 }
 
-// StartAnswered records that the order to start a run was carried out or refused, or
-// that it was not sent.
+// StartAnswered records that the order to start a run was carried out or refused, that it
+// was not sent, or that the worker has stopped the run by its number.
 func (od *Outstanding) StartAnswered(key weir.RunKey) {
 	od.mu.Lock()
 	defer od.mu.Unlock()
--- a/internal/task/session/outstanding_test.go
+++ b/internal/task/session/outstanding_test.go
@@ -227,3 +227,26 @@
 	ss.RenewOnce(t.Context())
 	require.True(t, ss.Usable())
 }
+
+func (rw *recordingWorker) Stop(context.Context, weir.WorkerIncarnation, weir.RunKey, uint64) (weir.OrderResponse, error) {
+	return weir.OrderResponse{}, rw.answer()
+}
+
+// TestStoppedStartHoldsUpNothing guards against a lasting task that has no run for 22 s
+// because an earlier start of it was not answered, though its worker has stopped that run,
+// and both workers are lost later.
+func TestStoppedStartHoldsUpNothing(t *testing.T) {
+	ss, rw := acknowledging(t)
+	rw.fails = true
+	key := sendStart(t, ss, "a")
+	rw.fails = false
+	placed := []PlacedRun{{Key: key, Wanted: true}}
+	require.Empty(t, ss.Reconcile(rw.clk.Now(), placed).Ends)
+	rw.clk.Advance(time.Millisecond)
+	require.True(t, ss.SendNext(t.Context()), "the stop")
+	require.False(t, ss.Outstanding.OverAt(key.Task).IsZero())
+	rw.clk.Advance(time.Millisecond)
+	ss.RenewOnce(t.Context())
+	require.Len(t, ss.Reconcile(rw.clk.Now(), placed).Ends, 1)
+	require.True(t, ss.Outstanding.OverAt(key.Task).IsZero())
+}
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -582,6 +582,8 @@
 		}
 		out.Refused[pl.Key] = rn.refusal
 	case decisionLost:
+		// This incarnation has ended the run, or refuses it by its number from now on.
+		ss.Outstanding.StartAnswered(pl.Key)
 		out.Ends = append(out.Ends, store.RunEnd{Task: pl.Key.Task, Run: pl.Key.Run, Reason: store.EndLost})
 	case decisionStop:
 		ss.stop(now, pl.Key, rn)
