perf: learn of ends while starts are unanswered, and read no clock in vain

Suspected cause: on a slow process a start often takes longer than the 50 ms that an acknowledgement waited for it. The next renewal then followed 150 ms later, so that ends became known late. Whether a worker is usable also read the clock for each of 542 workers in each round.

Change: the renewal waits for the starts up to 150 ms, in place of both, and goes out with the acknowledgement as soon as they are answered. The clock is read only if a start is unanswered.

--- a/internal/task/session/orders.go
+++ b/internal/task/session/orders.go
@@ -45,7 +45,7 @@
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	rn := ss.runs[order.RunKey]
-	if rn == nil || rn.unwanted || rn.abandoned || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero() || ss.silent(now) {
+	if rn == nil || rn.unwanted || rn.abandoned || ss.closed || ss.otherIncarnation || !ss.unreachableSince.IsZero() || ss.silent() {
 		return nil
 	}
 	if ss.unansweredAcks > 0 && !ss.raiseToken() {
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -21,7 +21,7 @@
 	if fresh {
 		ss.awaitCommit(ctx)
 	}
-	return answered && !ss.ackWithheld()
+	return answered
 }
 
 // awaitStarts waits up to ackPatience for the answers to starts, if ends are to be
@@ -36,7 +36,6 @@
 }
 
 // ackWithheld reports whether the worker lists ends that it cannot be told to forget yet.
-// It answers renewals at once until it has forgotten them.
 func (ss *Session) ackWithheld() bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -64,9 +64,10 @@
 	// silenceLimit is how long a start may be unanswered before the worker gets no further
 	// ones until it answers. Each of them would have to be waited for.
 	silenceLimit = 100 * time.Millisecond
-	// ackPatience is how long an acknowledgement waits for the answers to starts.
-	ackPatience = 50 * time.Millisecond
-	// ackPollInterval is how often such an acknowledgement looks for them.
+	// ackPatience is how long a renewal waits for the answers to starts, to acknowledge
+	// ends. The worker responds at once to one that leaves out the acknowledgement.
+	ackPatience = 150 * time.Millisecond
+	// ackPollInterval is how often such a renewal looks for them.
 	ackPollInterval = 5 * time.Millisecond
 	// answerRecordDelay is how long after its start was answered a run is recorded as
 	// answered, if it is still on the worker. Most runs are over by then.
@@ -351,13 +352,13 @@
 func (ss *Session) Usable() bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	return !ss.closed && !ss.exhausted && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation && !ss.silent(ss.Clock.Now())
+	return !ss.closed && !ss.exhausted && !ss.clockSentAt.IsZero() && ss.unreachableSince.IsZero() && !ss.otherIncarnation && !ss.silent()
 }
 
 // silent reports whether the worker has left a start unanswered for silenceLimit and
 // has answered nothing since. Call it with the lock held.
-func (ss *Session) silent(now time.Time) bool {
-	return !ss.unansweredSince.IsZero() && now.Sub(ss.unansweredSince) > silenceLimit
+func (ss *Session) silent() bool {
+	return !ss.unansweredSince.IsZero() && ss.Clock.Now().Sub(ss.unansweredSince) > silenceLimit
 }
 
 // startSent records that a start was sent, orderAnswered that the worker has answered any
