--- a/internal/contract/taskapi/taskapi.go
+++ b/internal/contract/taskapi/taskapi.go
@@ -76,11 +76,8 @@
 		Method: http.MethodPost, Path: path, Body: data, Repeatable: true,
 		Headers: []httpconn.Header{{Name: echo.HeaderContentType, Value: echo.MIMEApplicationJSON}},
 	})
-	if errkind.Is(err, httpconn.KindNotSent) {
-		return errors.Wrap(weir.ErrNotSent, err.Error())
-	}
 	if err != nil {
-		return err
+		return httpconn.MarkNotSent(err)
 	}
 	if resp.Status != http.StatusOK {
 		return &Error{Op: path, Kind: KindStatus, Err: errors.New(strconv.Itoa(resp.Status))}
--- a/internal/job/scheduler/ends.go
+++ b/internal/job/scheduler/ends.go
@@ -103,6 +103,12 @@
 		lapse := store.Change{Lapse: &store.WorkerCrash{ID: wk.ID, Incarnation: wk.Incarnation, Recent: recent, Unconfirmed: unconfirmed}}
 		changes = append([]store.Change{lapse}, changes...)
 	}
+	sc.submitExpiry(ws, changes)
+}
+
+// submitExpiry commits changes that follow from the expiry of a worker's leases.
+func (sc *Scheduler) submitExpiry(ws *workerSession, changes []store.Change) {
+	wk := ws.worker
 	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, err error) {
 		for _, res := range results {
 			sc.HandleCrash(wk, res)
@@ -130,14 +136,7 @@
 		leave := changes[len(changes)-1].Leave
 		leave.Recent, leave.Unconfirmed = ws.session.RecentStarts()
 	}
-	ws.removalInFlight = sc.Committer.Submit(changes, func(results []store.Result, _ error) {
-		for _, res := range results {
-			sc.HandleCrash(wk, res)
-		}
-		sc.mu.Lock()
-		ws.removalInFlight = false
-		sc.mu.Unlock()
-	})
+	sc.submitExpiry(ws, changes)
 }
 
 func (sc *Scheduler) logLostRun(key weir.RunKey, id weir.InstanceID, reason string) {
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -241,22 +241,29 @@
 }
 
 // group returns the tasks of a step that may start now, which are none of the doubtful
-// ones; it reports false if there are none.
+// ones; it reports false if there are none. A step that may run has its workers in the
+// group also then, unless it is a gang.
 func (sc *Scheduler) group(ls *leaderState, js *store.JobState, qu catalog.Queue, oc, sp int, doubtful map[weir.TaskRef]bool) (placement.Group, bool) {
 	ss := &js.Occurrences[oc][sp]
 	if ss.TasksLeft == 0 || !js.StepReady(oc, sp) {
 		return placement.Group{}, false
 	}
-	gr := stepGroup(js, qu, oc, sp)
-	ref, step, highest := gr.Step, gr.Spec, 0
+	step := js.Spec.Steps[sp]
+	ref := spec.TaskRef{Job: js.Spec.ID, Occurrence: oc, Step: sp}
+	gr := placement.Group{
+		Step: ref, Spec: step, Pool: qu.Pool, Team: js.Spec.Team, Priority: qu.Priority,
+		StartBy: latestStart(js.Spec, js.Accepted, qu, oc, sp), RunsByWorker: map[weir.InstanceID]int{},
+	}
+	highest := 0
 	for ix := range ss.Tasks {
 		tk := &ss.Tasks[ix]
 		highest = max(highest, tk.Run)
-		if !tk.Placed() && !tk.Done {
-			ref.Index = ix
-			if doubtful[ref] {
-				continue
-			}
+		if tk.Placed() {
+			gr.RunsByWorker[tk.Worker]++
+			continue
+		}
+		ref.Index = ix
+		if !tk.Done && !doubtful[ref] {
 			gr.Tasks = append(gr.Tasks, placement.Task{
 				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
 				Suspect: tk.Suspect(),
@@ -274,20 +281,6 @@
 	return gr, len(gr.Tasks) > 0
 }
 
-// stepGroup returns the group of a step without tasks to place.
-func stepGroup(js *store.JobState, qu catalog.Queue, oc, sp int) placement.Group {
-	gr := placement.Group{
-		Step: spec.TaskRef{Job: js.Spec.ID, Occurrence: oc, Step: sp}, Spec: js.Spec.Steps[sp], Pool: qu.Pool, Team: js.Spec.Team,
-		Priority: qu.Priority, StartBy: latestStart(js.Spec, js.Accepted, qu, oc, sp), RunsByWorker: map[weir.InstanceID]int{},
-	}
-	for ix := range js.Occurrences[oc][sp].Tasks {
-		if tk := &js.Occurrences[oc][sp].Tasks[ix]; tk.Placed() {
-			gr.RunsByWorker[tk.Worker]++
-		}
-	}
-	return gr
-}
-
 // latestStart returns when a step must start for its job to meet its objective,
 // based on the caller's estimates.
 func latestStart(jb spec.Job, accepted time.Time, qu catalog.Queue, oc, sp int) time.Time {
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -257,7 +257,7 @@
 	if !ok {
 		return false
 	}
-	gr := stepGroup(js, qu, key.Task.Occurrence, key.Task.Step)
+	gr, _ := sc.group(ls, js, qu, key.Task.Occurrence, key.Task.Step, nil)
 	workers := sc.usableWorkers(ls, rd, now, []pendingJob{{job: js, queue: qu}})
 	workers = slices.DeleteFunc(workers, func(wk workerView) bool { return wk.ID == id })
 	if qu.Adviser == nil {
--- a/internal/link/httpconn/httpconn.go
+++ b/internal/link/httpconn/httpconn.go
@@ -310,6 +310,15 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// MarkNotSent returns an error that wraps weir.ErrNotSent if no byte of the request was
+// sent, and other errors unchanged.
+func MarkNotSent(err error) error {
+	if errkind.Is(err, KindNotSent) {
+		return errors.Wrap(weir.ErrNotSent, err.Error())
+	}
+	return err
+}
+
 func sendErrorKind(sent int) Kind {
 	if sent == 0 {
 		return KindNotSent
--- a/internal/task/session/outstanding.go
+++ b/internal/task/session/outstanding.go
@@ -80,7 +80,7 @@
 	number := od.lastLease
 	od.leases[number] = at
 	for other, sentAt := range od.leases {
-		if at.Sub(sentAt) > maxOrderDelay+slowestSpan(od.maxLease) {
+		if at.Sub(sentAt) > od.longestDelay() {
 			delete(od.leases, other)
 		}
 	}
@@ -128,21 +128,18 @@
 }
 
 func (od *Outstanding) overAt(task weir.TaskRef) time.Time {
-	var latest time.Time
-	for key, sentAt := range od.starts {
-		if key.Task == task && sentAt.After(latest) {
-			latest = sentAt
+	for key := range od.starts {
+		if key.Task == task {
+			return od.allOverAt()
 		}
 	}
-	if latest.IsZero() {
-		return latest
-	}
-	return od.latestGrant(latest).Add(maxOrderDelay + slowestSpan(od.maxLease))
+	return time.Time{}
 }
 
-// latestGrant returns when the last outstanding order that grants a lease was sent, or
-// the given time if that is later.
-func (od *Outstanding) latestGrant(latest time.Time) time.Time {
+// latestGrant returns when the last outstanding order that grants a lease was sent, the
+// zero time if there is none.
+func (od *Outstanding) latestGrant() time.Time {
+	var latest time.Time
 	for _, sentAt := range od.starts {
 		if sentAt.After(latest) {
 			latest = sentAt
@@ -156,18 +153,30 @@
 	return latest
 }
 
+// allOverAt returns when every run that outstanding orders may begin, or keep running, is
+// certainly over.
+func (od *Outstanding) allOverAt() time.Time { return od.latestGrant().Add(od.longestDelay()) }
+
+// longestDelay is how long after an order was sent its effect may last.
+func (od *Outstanding) longestDelay() time.Duration {
+	return maxOrderDelay + slowestSpan(od.maxLease)
+}
+
 // DoubtfulTasks adds to the given set the tasks of which an outstanding start may begin a
-// run, or may have begun one that is not over at the given time. It drops those that are
-// over.
+// run, or may have begun one that is not over at the given time. It drops the starts once
+// all are over.
 func (od *Outstanding) DoubtfulTasks(now time.Time, into map[weir.TaskRef]bool) {
 	od.mu.Lock()
 	defer od.mu.Unlock()
+	if len(od.starts) == 0 {
+		return
+	}
+	if !od.allOverAt().After(now) {
+		clear(od.starts)
+		return
+	}
 	for key := range od.starts {
-		if od.overAt(key.Task).After(now) {
-			into[key.Task] = true
-		} else {
-			delete(od.starts, key)
-		}
+		into[key.Task] = true
 	}
 }
 
@@ -175,7 +184,7 @@
 func (od *Outstanding) Over(now time.Time) bool {
 	od.mu.Lock()
 	defer od.mu.Unlock()
-	return now.After(od.leaseExpiry) && now.After(od.latestGrant(time.Time{}).Add(maxOrderDelay+slowestSpan(od.maxLease)))
+	return now.After(od.leaseExpiry) && now.After(od.allOverAt())
 }
 
 // lateLeaseExpiry returns until when an incarnation that answers for the first time at the
@@ -184,7 +193,7 @@
 func (od *Outstanding) lateLeaseExpiry(now time.Time) time.Time {
 	od.mu.Lock()
 	defer od.mu.Unlock()
-	latest := od.latestGrant(time.Time{})
+	latest := od.latestGrant()
 	if latest.IsZero() {
 		return latest
 	}
--- a/internal/task/session/reports.go
+++ b/internal/task/session/reports.go
@@ -122,11 +122,8 @@
 func (ss *Session) requestReport(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	ss.mu.Lock()
-	order := weir.RenewOrder{Token: ss.token}
-	ss.mu.Unlock()
-	sentAt := ss.Clock.Now()
-	rep, err := ss.Workers.Renew(callCtx, ss.Worker, order)
+	token, sentAt := ss.currentToken(), ss.Clock.Now()
+	rep, err := ss.Workers.Renew(callCtx, ss.Worker, weir.RenewOrder{Token: token})
 	if err != nil {
 		_ = ss.Logger.Log("level", "debug", "msg", "report request failed", "worker", ss.Worker.ID, "err", err)
 		return
@@ -134,7 +131,7 @@
 	if rep.Fenced {
 		return
 	}
-	ss.applyReport(sentAt, order.Acknowledged, rep)
+	ss.applyReport(sentAt, 0, rep)
 	ss.OnChange()
 }
 
