fix: leave waiting tasks that last the worker they need

Cause: maintenance looked at the runs on a machine only. Once the leases of its worker have lapsed, no run blocks it: a cordoned machine gets no new run, and the maintenance is ordered 100 ms later.

Change: long-running tasks that wait are placed in thought before machines are cordoned, ordered or moved; a machine that one of them comes to is left at work and its cordon ends. Tasks wait for other workers first, then machines that are due, then those that get no new tasks.

--- a/internal/job/scheduler/machines.go
+++ b/internal/job/scheduler/machines.go
@@ -50,6 +50,9 @@
 	cordon map[string]cordon
 	// blocked holds machines whose maintenance is blocked by their long-running tasks.
 	blocked map[string]blockedMaintenance
+	// needed holds machines that waiting long-running tasks are placed on next; see
+	// neededMachines.
+	needed map[string]bool
 	// lastOrderAt is when the last order for a machine was sent.
 	lastOrderAt map[string]time.Time
 	// inFlight is set while an order is sent and its response recorded.
@@ -125,13 +128,21 @@
 	return slices.ContainsFunc(wv.Machines, mst.cordoned)
 }
 
-// unschedulable reports whether a machine gets no new tasks.
-func (mst *machineState) unschedulable(rd store.Reader, machine string) bool {
+// unavailability returns why a machine gets no new tasks.
+func (mst *machineState) unavailability(rd store.Reader, machine string) unavailability {
 	if machine == "" {
-		return false
+		return available
 	}
 	_, ordered := rd.MachineOperation(machine)
-	return ordered || mst.cordoned(machine) || mst.pendingCommit[machine] || mst.draining[machine]
+	switch {
+	case ordered || mst.pendingCommit[machine]:
+		return machineOrdered
+	case mst.cordoned(machine):
+		return cordonedForWave
+	case mst.draining[machine]:
+		return leavesPool
+	}
+	return available
 }
 
 // updateMachines starts the maintenance that may start now and moves machines
@@ -150,12 +161,16 @@
 				delete(mst.away, machine)
 			}
 		}
-		numbers := make([]int64, 0, len(rd.Waves()))
+		numbers, due := make([]int64, 0, len(rd.Waves())), map[string]bool{}
 		for number, wv := range rd.Waves() {
 			if !wv.AllStarted() || mst.anyCordoned(wv) {
 				numbers = append(numbers, number)
+				for _, machine := range wv.Machines {
+					due[machine] = due[machine] || !wv.Started[machine]
+				}
 			}
 		}
+		mst.needed = sc.neededMachines(ctx, ls, rd, due, now)
 		slices.Sort(numbers)
 		for _, number := range numbers {
 			sc.advanceWave(ctx, ls, rd, rd.Waves()[number], byMachine, now)
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -326,8 +326,50 @@
 	return jobs, reserved
 }
 
+// unavailability is why a worker takes no tasks now.
+type unavailability string
+
+const (
+	available        unavailability = ""
+	workerDrains     unavailability = "draining"
+	workerRestarted  unavailability = "started again"
+	workerSilent     unavailability = "not responding"
+	machineOrdered   unavailability = "maintenance or move ordered"
+	cordonedForWave  unavailability = "cordoned"
+	leavesPool       unavailability = "about to move"
+	backsOff         unavailability = "in backoff"
+	workerNotInState unavailability = "gone"
+)
+
+// workerUnavailability returns why the worker of a session takes no tasks now.
+func (sc *Scheduler) workerUnavailability(ls *leaderState, rd store.Reader, id weir.InstanceID, ws *workerSession, now time.Time) unavailability {
+	wk, ok := rd.Worker(id)
+	switch {
+	case !ok:
+		return workerNotInState
+	case wk.Draining:
+		return workerDrains
+	case wk.Incarnation != ws.worker.Incarnation:
+		return workerRestarted
+	case !ws.session.Usable():
+		return workerSilent
+	}
+	if un := ls.machines.unavailability(rd, wk.Machine); un != available {
+		return un
+	}
+	if ls.health[id].inBackoff(now) {
+		return backsOff
+	}
+	return available
+}
+
 // usableWorkers returns the workers that can take tasks of the given jobs now.
 func (sc *Scheduler) usableWorkers(ls *leaderState, rd store.Reader, now time.Time, jobs []pendingJob) []placement.Worker {
+	return sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool { return un == available })
+}
+
+// workersIn returns the workers of the given jobs' pools whose unavailability is accepted.
+func (sc *Scheduler) workersIn(ls *leaderState, rd store.Reader, now time.Time, jobs []pendingJob, accept func(un unavailability) bool) []placement.Worker {
 	pools := map[weir.PoolName]bool{}
 	for _, dm := range jobs {
 		pools[dm.queue.Pool] = true
@@ -335,17 +377,11 @@
 	suspects, reserved := sc.suspectRuns(rd)
 	workers := make([]placement.Worker, 0, len(ls.sessions))
 	for id, ws := range ls.sessions {
-		if !pools[ws.worker.Pool] {
-			continue
-		}
-		wk, ok := rd.Worker(id)
-		if !ok || wk.Draining || wk.Incarnation != ws.worker.Incarnation || !ws.session.Usable() || ls.machines.unschedulable(rd, wk.Machine) {
+		if !pools[ws.worker.Pool] || !accept(sc.workerUnavailability(ls, rd, id, ws, now)) {
 			continue
 		}
+		wk, _ := rd.Worker(id)
 		hl := ls.health[id]
-		if hl.inBackoff(now) {
-			continue
-		}
 		pw := placement.Worker{ID: id, Incarnation: wk.Incarnation, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Suspect: hl.suspect(now), SuspectJobs: suspects[id], ReservedFor: reserved[id]}
 		load := rd.WorkerLoad(id)
 		pw.Free, pw.Serving, pw.BestEffort = wk.Capacity.Minus(load.Used), load.Serving, load.BestEffort
--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -296,7 +296,7 @@
 		mc := balance.Machine{Name: name, Pool: wk.Pool}
 		ca := sc.candidate(ls, rd, name, wk)
 		mc.Runs = ca.batchRuns
-		mc.Movable = ca.longRunning == 0 && ws.session.Usable() && !mst.operationPending(rd, name) && sc.mayOrder(ls, rd, name, now)
+		mc.Movable = ca.longRunning == 0 && !mst.needed[name] && ws.session.Usable() && !mst.operationPending(rd, name) && sc.mayOrder(ls, rd, name, now)
 		if op, ok := rd.MachineOperation(name); ok && op.Pool != "" {
 			mc.Pool = op.Pool
 		}
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -47,8 +47,9 @@
 	batchRuns   int
 	longRunning int
 	cordoned    bool
-	// stuck says that its maintenance has been blocked for longer than blockedPatience.
-	stuck bool
+	// excluded says that it is not to be cordoned: its maintenance has been blocked for
+	// longer than blockedPatience, or a waiting task needs it.
+	excluded bool
 }
 
 // advanceWave starts the maintenance of the machines of one wave that may start
@@ -74,8 +75,8 @@
 			// It can be ordered once it is back.
 		default:
 			ca := sc.candidate(ls, rd, machine, byMachine[machine])
-			ca.stuck = sc.maintenanceStuck(ctx, ls, rd, ca, now)
-			ca.cordoned = ca.cordoned && !ca.stuck
+			ca.excluded = sc.uncordonNeeded(ls, machine, ca.worker) || sc.maintenanceStuck(ctx, ls, rd, ca, now)
+			ca.cordoned = ca.cordoned && !ca.excluded
 			waiting = append(waiting, ca)
 			continue
 		}
@@ -151,7 +152,7 @@
 	plain, longRunning := 0, map[weir.PoolName]int{}
 	for _, ca := range waiting {
 		switch {
-		case ca.stuck:
+		case ca.excluded:
 			continue
 		case ca.longRunning > 0 && longRunning[ca.pool] < maxLongRunningCordoned:
 			longRunning[ca.pool]++
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -42,10 +42,10 @@
 	Suspect bool
 }
 
-// spreadWait is how long a long-running task waits for a worker with fewer tasks
+// MaxSpreadWait is how long a long-running task waits for a worker with fewer tasks
 // of its step than may be unavailable at a time. A machine that was moved to the
 // pool is usable after about 1.6 s.
-const spreadWait = 2 * time.Second
+const MaxSpreadWait = 2 * time.Second
 
 // Group holds the tasks of one step of one job occurrence that may start now.
 type Group struct {
@@ -365,6 +365,48 @@
 	return slices.ContainsFunc(workers, func(wk Worker) bool { return wk.Pool == gr.Pool && wk.accepts(gr, gr.RunsByWorker) })
 }
 
+// Without returns the groups with the tasks that the given placements leave.
+func Without(groups []Group, placed []Placement) []Group {
+	runs := map[weir.TaskRef]weir.InstanceID{}
+	for _, pl := range placed {
+		runs[pl.Task] = pl.Worker
+	}
+	var out []Group
+	for _, gr := range groups {
+		left := gr
+		left.Tasks, left.RunsByWorker = nil, map[weir.InstanceID]int{}
+		maps.Copy(left.RunsByWorker, gr.RunsByWorker)
+		for _, tk := range gr.Tasks {
+			if id, ok := runs[gr.ref(tk)]; ok {
+				left.RunsByWorker[id]++
+				continue
+			}
+			left.Tasks = append(left.Tasks, tk)
+		}
+		if len(left.Tasks) > 0 {
+			out = append(out, left)
+		}
+	}
+	return out
+}
+
+// Reserve returns the workers with what the given placements of the groups' tasks leave
+// free.
+func Reserve(workers []Worker, groups []Group, placed []Placement) []Worker {
+	steps := map[weir.TaskRef]spec.Step{}
+	for _, gr := range groups {
+		steps[gr.Step] = gr.Spec
+	}
+	out, at := slices.Clone(workers), make(map[weir.InstanceID]int, len(workers))
+	for ix, wk := range out {
+		at[wk.ID] = ix
+	}
+	for _, pl := range placed {
+		out[at[pl.Worker]].reserve(steps[pl.Task.StepRef()])
+	}
+	return out
+}
+
 // chooseWorker returns the best worker for a task, nil if none accepts it.
 func chooseWorker(gr Group, tk Task, on map[weir.InstanceID]int, rack string, workers []*Worker) *Worker {
 	var best *Worker
@@ -425,7 +467,7 @@
 // the wall clock was set back, the wait ends.
 func (tk Task) waitsForSpread(now time.Time) bool {
 	waited := now.Sub(tk.WaitingSince)
-	return waited >= 0 && waited < spreadWait
+	return waited >= 0 && waited < MaxSpreadWait
 }
 
 // avoided reports whether other workers are preferred.
--- a/internal/schedule/placement/placement_test.go
+++ b/internal/schedule/placement/placement_test.go
@@ -83,8 +83,8 @@
 			[]Worker{worker("w1", 8), worker("w2", 8)},
 			map[string]int{"a on w1": 1, "a on w2": 1},
 		},
-		"long-running tasks share workers after spreadWait": {
-			[]Group{group("a", spec.Step{Count: 5, Resources: cores(1), LongRunning: true, MaxUnavailable: 1}, waitingFor(spreadWait))},
+		"long-running tasks share workers after MaxSpreadWait": {
+			[]Group{group("a", spec.Step{Count: 5, Resources: cores(1), LongRunning: true, MaxUnavailable: 1}, waitingFor(MaxSpreadWait))},
 			[]Worker{worker("w1", 8), worker("w2", 8)},
 			map[string]int{"a on w1": 3, "a on w2": 2},
 		},
