fix: keep the place of a long-running task that waits for a better one

What callers see: a task that lasts stays without a run though a worker had room for it. For 2 s it waits for a worker with fewer tasks of its step; meanwhile other tasks get the only place that it has, and keep it for as long as they run.

Cause: a task that waits ended the placing of its group and reserved nothing. So it also held up the tasks behind it that had waited long enough.

Change: room is reserved where the task will be placed in the end, and placing goes on with the next task.

The three new rows of TestPlace fail on the code before. TestOrderWithoutTeamsIsUnchanged compares with a copy of an earlier algorithm, which gets the same rule; it compares all placements as before.

--- a/internal/schedule/placement/order_test.go
+++ b/internal/schedule/placement/order_test.go
@@ -67,11 +67,15 @@
 		if wk == nil && tk.Suspect {
 			continue
 		}
-		if wk == nil || (gr.exceedsMaxUnavailable(on[wk.ID]) && tk.waitsForSpread(now)) {
+		waits := wk != nil && gr.exceedsMaxUnavailable(on[wk.ID]) && tk.waitsForSpread(now)
+		if wk == nil || (waits && gr.Spec.Gang) {
 			break
 		}
 		po.reserve(wk, gr, tk)
 		on[wk.ID]++
+		if waits {
+			continue
+		}
 		out = append(out, Placement{Task: gr.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation})
 	}
 	if gr.Spec.Gang && len(out) < len(gr.Tasks) {
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -40,6 +40,9 @@
 	WaitingSince time.Time
 	// Suspect is set if a worker has crashed soon after it started the task.
 	Suspect bool
+	// Stopping is set if a run of the task is being stopped, so that the task starts on
+	// another worker, where room is reserved for it.
+	Stopping bool
 }
 
 // MaxSpreadWait is how long a long-running task waits for a worker with fewer tasks
@@ -100,6 +103,10 @@
 	Run         int
 	Worker      weir.InstanceID
 	Incarnation int64
+
+	// reserved is set if the run must not start yet: the task is being stopped elsewhere,
+	// or waits for a better worker. Until then, no other task gets its room.
+	reserved bool
 }
 
 // queued is a group while its tasks are placed.
@@ -155,7 +162,7 @@
 		}
 		ordered = ordered[end:]
 	}
-	return out
+	return slices.DeleteFunc(out, func(pl Placement) bool { return pl.reserved })
 }
 
 // order returns the groups in the order in which they are placed, apart from the
@@ -233,11 +240,12 @@
 		if wk == nil && tk.Suspect {
 			continue
 		}
-		if wk == nil || qd.waitsForSpread(now, wk, tk) {
+		if wk == nil {
 			break
 		}
+		reserved := tk.Stopping || qd.waitsForSpread(now, wk, tk)
 		qd.member.start(gr.Spec)
-		out = append(out, qd.reserve(po, wk, tk))
+		out = append(out, qd.reserve(po, wk, tk, reserved))
 	}
 	return out, false
 }
@@ -262,11 +270,11 @@
 	return qd.exceedsMaxUnavailable(qd.on[wk.ID]) && tk.waitsForSpread(now)
 }
 
-// reserve places a task on a worker.
-func (qd *queued) reserve(po *pool, wk *Worker, tk Task) Placement {
+// reserve places a task on a worker, or only reserves room for it there.
+func (qd *queued) reserve(po *pool, wk *Worker, tk Task, only bool) Placement {
 	po.reserve(wk, qd.Group, tk)
 	qd.on[wk.ID]++
-	return Placement{Task: qd.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation}
+	return Placement{Task: qd.ref(tk), Run: tk.Run, Worker: wk.ID, Incarnation: wk.Incarnation, reserved: only}
 }
 
 // placeGang places all tasks of a gang or none.
@@ -284,7 +292,7 @@
 			po.sort()
 			return out[:len(out)-ix]
 		}
-		out = append(out, qd.reserve(po, wk, tk))
+		out = append(out, qd.reserve(po, wk, tk, false))
 	}
 	for range qd.Tasks {
 		qd.member.start(qd.Spec)
--- a/internal/schedule/placement/placement_test.go
+++ b/internal/schedule/placement/placement_test.go
@@ -88,6 +88,30 @@
 			[]Worker{worker("w1", 8), worker("w2", 8)},
 			map[string]int{"a on w1": 3, "a on w2": 2},
 		},
+		"long-running tasks that wait for more workers keep their place": {
+			[]Group{
+				group("a", spec.Step{Count: 2, Resources: cores(1), LongRunning: true, MaxUnavailable: 1}, waitingFor(time.Second)),
+				group("b", spec.Step{Count: 4, Resources: cores(1)}),
+			},
+			[]Worker{worker("w1", 3)},
+			map[string]int{"a on w1": 1, "b on w1": 1},
+		},
+		"a task that waits for more workers holds up no other": {
+			[]Group{group("a", spec.Step{Count: 2, Resources: cores(1), LongRunning: true, MaxUnavailable: 1}, waitingFor(time.Second), func(gr *Group) {
+				gr.Tasks[1].WaitingSince = testNow.Add(-MaxSpreadWait)
+				gr.RunsByWorker = map[weir.InstanceID]int{"w1": 1}
+			})},
+			[]Worker{worker("w1", 3)},
+			map[string]int{"a on w1": 1},
+		},
+		"room for a task that is being stopped": {
+			[]Group{
+				group("a", spec.Step{Count: 1, Resources: cores(1), LongRunning: true}, func(gr *Group) { gr.Tasks[0].Stopping = true }),
+				group("b", spec.Step{Count: 4, Resources: cores(1)}),
+			},
+			[]Worker{worker("w1", 3)},
+			map[string]int{"b on w1": 2},
+		},
 		"a clock that was set back ends the wait": {
 			[]Group{group("a", spec.Step{Count: 2, Resources: cores(1), LongRunning: true, MaxUnavailable: 1}, waitingFor(-time.Second))},
 			[]Worker{worker("w1", 8)},
