fix: keep the place that a long-running task was evicted for

What callers see: a wave stops a task that lasts because another worker has room for it. While the stop is under way, another task gets that room, and the task waits.

Cause: room was looked for before the stop, but not kept. An evicted run was also forgotten once its end was submitted, before it was recorded: for that moment it counted as at work, and a second task of its step could be stopped. An interval between log lines hid that, which also let the first blocked machine keep the others of a wave from evicting.

Change: evicted tasks reserve room as soon as they are evicted, also against machines that are about to be cordoned, ordered or moved; a task is evicted only if there is room beside all that wait or are evicted. An evicted run is forgotten once its end is recorded. Evictions do not depend on the log any more.

--- a/internal/job/scheduler/ends.go
+++ b/internal/job/scheduler/ends.go
@@ -19,7 +19,6 @@
 		en := &out.Ends[ix]
 		changes[ix] = store.Change{End: en}
 		sc.updateHealth(ls, id, *en, now)
-		delete(ls.evicted, weir.RunKey{Task: en.Task, Run: en.Run})
 		metrics.GetOrCreateCounter(`weir_run_ends_total{how="` + string(en.Reason) + `"}`).Inc()
 		if en.Reason != store.EndDone {
 			_ = sc.Logger.Log("level", "info", "msg", "run ended", "job", en.Task.Job, "task", en.Task, "run", en.Run,
--- a/internal/job/scheduler/lapsed_wave_test.go
+++ b/internal/job/scheduler/lapsed_wave_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,3 +52,39 @@
 		}
 	}
 }
+
+// TestEvictedTaskKeepsItsPlace guards against a long-running task that waits because the
+// place that it was evicted for is given to another task, or to another evicted one.
+func TestEvictedTaskKeepsItsPlace(t *testing.T) {
+	one, two := spec.Resources{MilliCPU: 1000}, spec.Resources{MilliCPU: 2000}
+	lasting := spec.Step{Count: 2, Resources: one, LongRunning: true, MaxUnavailable: 1, Label: "k"}
+	t.Run("a job that is handed in meanwhile", func(t *testing.T) {
+		bw := newBlockedWave(t, nil, store.Worker{ID: "w0", Kind: "k", Capacity: two})
+		bw.start("a", lasting)
+		bw.join(store.Worker{ID: "w1", Kind: "k", Incarnation: 1, Capacity: one})
+		bw.begin()
+		bw.pass(noticeBlocked, func() bool { return len(bw.sp.ls.evicted) > 0 })
+		bw.sp.apply(store.Change{Submit: &spec.Job{ID: "b", Queue: "h/q/", Steps: []spec.Step{{Count: 4, Resources: one}}}})
+		bw.pass(restartTime, func() bool {
+			require.Zero(t, bw.atWork("b"), "there is room for the evicted task alone")
+			return bw.over()
+		})
+		bw.pass(restartTime, func() bool { return bw.atWork("a") == 2 })
+	})
+	t.Run("two machines at once", func(t *testing.T) {
+		bw := newBlockedWave(t, nil, store.Worker{ID: "w0", Kind: "k", Capacity: two}, store.Worker{ID: "w1", Kind: "j", Capacity: two})
+		bw.start("a", lasting)
+		other := lasting
+		other.Label = "j"
+		bw.start("b", other)
+		bw.join(store.Worker{ID: "w2", Kind: "k", Rack: "j", Incarnation: 1, Capacity: one})
+		wv := store.Wave{Number: 1, Machines: []string{"mw0", "mw1"}, MaxParallel: 2, Deadline: testNow.Add(time.Minute)}
+		bw.waves[1] = wv
+		bw.sp.apply(store.Change{Wave: &wv})
+		bw.pass(noticeBlocked, func() bool { return len(bw.sp.ls.evicted) > 0 })
+		// Its worker confirms the stop only later.
+		late := slices.Collect(maps.Keys(bw.sp.ls.evicted))[0]
+		bw.sp.workers.down[map[weir.JobID]weir.InstanceID{"a": "w0", "b": "w1"}[late.Task.Job]] = true
+		bw.never(2*waitLogInterval, func() bool { return len(bw.sp.ls.evicted) > 1 }, "a second task is evicted for the same place")
+	})
+}
--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -58,7 +58,7 @@
 		"longest", rl.longest.String(), "sessions", len(ls.sessions), "stateBytes", weight)
 	ls.rounds = roundLoad{reportedAt: now}
 	sc.Store.Read(func(rd store.Reader) {
-		jobs := sc.pendingJobs(rd)
+		jobs := sc.pendingJobs(ls, rd)
 		workers := sc.usableWorkers(ls, rd, now, jobs)
 		largest, free, usable := maxFreeByPool(workers), map[weir.PoolName]spec.Resources{}, map[weir.PoolName]int{}
 		for _, wk := range workers {
@@ -139,10 +139,13 @@
 	if pw.teams == nil {
 		pw.teams = map[weir.TeamName]int{}
 	}
-	pw.teams[gr.Team] += len(gr.Tasks)
 	need := gr.Spec.Reserved()
 	for _, tk := range gr.Tasks {
+		if tk.Stopping {
+			continue
+		}
 		pw.tasks++
+		pw.teams[gr.Team]++
 		pw.waiting = pw.waiting.Plus(need)
 		pw.longest = max(pw.longest, wall.Sub(tk.WaitingSince))
 		if need.MilliCPU > largest.MilliCPU {
--- a/internal/job/scheduler/needed.go
+++ b/internal/job/scheduler/needed.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"greengageweir/internal/job/spec"
 	"greengageweir/internal/job/store"
 	"greengageweir/internal/schedule/placement"
 
@@ -17,29 +18,24 @@
 // only for tasks that no others take, and machines that get no new tasks, because their
 // maintenance is about to start or they are about to move, only for what is left then.
 func (sc *Scheduler) neededMachines(ctx context.Context, ls *leaderState, rd store.Reader, due map[string]bool, now time.Time) map[string]bool {
-	jobs := slices.DeleteFunc(sc.pendingJobs(rd), func(pj pendingJob) bool { return !pj.job.Spec.LongRunning() })
+	jobs := sc.pendingLongRunning(ls, rd)
 	if len(jobs) == 0 {
 		return nil
 	}
 	usable := sc.usableWorkers(ls, rd, now, jobs)
 	withheld := sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool { return un == cordonedForWave || un == leavesPool })
-	free := maxFreeByPool(slices.Concat(usable, withheld))
-	groups := sc.readyGroups(ctx, ls, rd, jobs, free, ls.doubtfulTasks(now))
-	groups = slices.DeleteFunc(groups, func(gr placement.Group) bool { return !gr.Spec.LongRunning })
+	groups := sc.longRunningGroups(ctx, ls, rd, jobs, maxFreeByPool(slices.Concat(usable, withheld)), now)
 	for ix := range usable {
 		wk, _ := rd.Worker(usable[ix].ID)
 		usable[ix].Suspect = usable[ix].Suspect || due[wk.Machine]
 	}
-	// Tasks that wait for a better worker take the one that there is in the end.
-	wall := sc.Wall.Now().Add(placement.MaxSpreadWait)
-	teams, pools := teamUse(rd, jobs, sc.Wall.Now())
-	placed := placement.Place(wall, groups, usable, teams, pools)
+	placed := sc.placeInTheEnd(rd, groups, usable)
 	if left := placement.Without(groups, placed); len(left) > 0 && len(withheld) > 0 {
 		for ix := range withheld {
 			withheld[ix].Suspect = true
 		}
 		all := append(placement.Reserve(usable, groups, placed), withheld...)
-		placed = append(placed, placement.Place(wall, left, all, teams, pools)...)
+		placed = append(placed, sc.placeInTheEnd(rd, left, all)...)
 	}
 	needed := map[string]bool{}
 	for _, pl := range placed {
@@ -50,6 +46,39 @@
 	return needed
 }
 
+// pendingLongRunning returns the jobs that may have long-running tasks to place, or to
+// reserve room for.
+func (sc *Scheduler) pendingLongRunning(ls *leaderState, rd store.Reader) []pendingJob {
+	return slices.DeleteFunc(sc.pendingJobs(ls, rd), func(pj pendingJob) bool { return !pj.job.Spec.LongRunning() })
+}
+
+// longRunningGroups returns the long-running steps with the tasks that may start now, and
+// the evicted ones as if they might.
+func (sc *Scheduler) longRunningGroups(ctx context.Context, ls *leaderState, rd store.Reader, jobs []pendingJob, free map[weir.PoolName]spec.Resources, now time.Time) []placement.Group {
+	groups := sc.readyGroups(ctx, ls, rd, jobs, free, ls.doubtfulTasks(now))
+	for _, gr := range groups {
+		for ix := range gr.Tasks {
+			gr.Tasks[ix].Stopping = false
+		}
+	}
+	return slices.DeleteFunc(groups, func(gr placement.Group) bool { return !gr.Spec.LongRunning })
+}
+
+// placeInTheEnd returns where the tasks of long-running steps are placed once they wait for
+// no better worker any more.
+func (sc *Scheduler) placeInTheEnd(rd store.Reader, groups []placement.Group, workers []workerView) []placement.Placement {
+	wall := sc.Wall.Now()
+	var jobs []pendingJob
+	for _, gr := range groups {
+		js := rd.Job(gr.Step.Job)
+		if qu, ok := rd.Queue(js.Spec.Queue); ok {
+			jobs = append(jobs, pendingJob{job: js, queue: qu})
+		}
+	}
+	teams, pools := teamUse(rd, jobs, wall)
+	return placement.Place(wall.Add(placement.MaxSpreadWait), groups, workers, teams, pools)
+}
+
 // uncordonNeeded gives a machine back to its work if a waiting long-running task needs it.
 // It reports whether one does.
 func (sc *Scheduler) uncordonNeeded(ls *leaderState, machine string, worker weir.InstanceID) bool {
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -25,7 +25,7 @@
 	}
 	var starts []placement.Placement
 	sc.Store.Read(func(rd store.Reader) {
-		jobs := sc.pendingJobs(rd)
+		jobs := sc.pendingJobs(ls, rd)
 		if len(jobs) == 0 {
 			return
 		}
@@ -122,11 +122,15 @@
 	queue catalog.Queue
 }
 
-// pendingJobs returns the jobs that may have tasks to place.
-func (sc *Scheduler) pendingJobs(rd store.Reader) []pendingJob {
+// pendingJobs returns the jobs that may have tasks to place, or to reserve room for.
+func (sc *Scheduler) pendingJobs(ls *leaderState, rd store.Reader) []pendingJob {
+	evicted := map[weir.JobID]bool{}
+	for key := range ls.evicted {
+		evicted[key.Task.Job] = true
+	}
 	var out []pendingJob
 	rd.EachActiveJob(func(js *store.JobState) {
-		if js.Phase.Terminal() || !js.MayNeedPlacement() {
+		if js.Phase.Terminal() || (!js.MayNeedPlacement() && !evicted[js.Spec.ID]) {
 			return
 		}
 		if qu, ok := rd.Queue(js.Spec.Queue); ok {
@@ -241,8 +245,8 @@
 }
 
 // group returns the tasks of a step that may start now, which are none of the doubtful
-// ones; it reports false if there are none. A step that may run has its workers in the
-// group also then, unless it is a gang.
+// ones, and the long-running ones that are evicted; it reports false if there are none. A
+// step that may run has its workers in the group also then, unless it is a gang.
 func (sc *Scheduler) group(ls *leaderState, js *store.JobState, qu catalog.Queue, oc, sp int, doubtful map[weir.TaskRef]bool) (placement.Group, bool) {
 	ss := &js.Occurrences[oc][sp]
 	if ss.TasksLeft == 0 || !js.StepReady(oc, sp) {
@@ -258,11 +262,14 @@
 	for ix := range ss.Tasks {
 		tk := &ss.Tasks[ix]
 		highest = max(highest, tk.Run)
+		ref.Index = ix
 		if tk.Placed() {
 			gr.RunsByWorker[tk.Worker]++
+			if step.LongRunning && ls.evicted[weir.RunKey{Task: ref, Run: tk.Run}] {
+				gr.Tasks = append(gr.Tasks, placement.Task{Index: ix, Run: tk.Run + 1, Stopping: true})
+			}
 			continue
 		}
-		ref.Index = ix
 		if !tk.Done && !doubtful[ref] {
 			gr.Tasks = append(gr.Tasks, placement.Task{
 				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
--- a/internal/job/scheduler/rebalance.go
+++ b/internal/job/scheduler/rebalance.go
@@ -181,7 +181,7 @@
 // freeRooms returns what the usable workers of each pool that has jobs have free.
 func (sc *Scheduler) freeRooms(ls *leaderState, rd store.Reader, now time.Time) map[weir.PoolName][]spec.Resources {
 	rooms := map[weir.PoolName][]spec.Resources{}
-	for _, wk := range sc.usableWorkers(ls, rd, now, sc.pendingJobs(rd)) {
+	for _, wk := range sc.usableWorkers(ls, rd, now, sc.pendingJobs(ls, rd)) {
 		rooms[wk.Pool] = append(rooms[wk.Pool], wk.Free)
 	}
 	return rooms
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -338,6 +338,7 @@
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	sc.syncSessions(ctx, ls, now)
+	sc.Store.Read(ls.forgetEnded)
 	for id, ws := range ls.sessions {
 		if ws.dirty.Swap(false) || (all && (ws.session.Unreachable() || now.Sub(ws.reconciledAt) >= reconcileInterval)) {
 			ws.reconciledAt = now
@@ -360,6 +361,19 @@
 	sc.placeTasks(ctx, ls, now)
 }
 
+// forgetEnded drops the evicted runs whose end is recorded. Until then they count as
+// unavailable.
+func (ls *leaderState) forgetEnded(rd store.Reader) {
+	for key := range ls.evicted {
+		js := rd.Job(key.Task.Job)
+		if js == nil {
+			delete(ls.evicted, key)
+		} else if tk := js.Task(key.Task); tk == nil || tk.Run != key.Run || !tk.Placed() {
+			delete(ls.evicted, key)
+		}
+	}
+}
+
 // syncSessions opens and closes sessions to match the registered workers.
 func (sc *Scheduler) syncSessions(ctx context.Context, ls *leaderState, now time.Time) {
 	var present map[weir.InstanceID]store.Worker
--- a/internal/job/scheduler/wave.go
+++ b/internal/job/scheduler/wave.go
@@ -196,11 +196,14 @@
 			continue
 		}
 		if step, unavailable := sc.blockingStep(ls, rd, ca.worker); step != nil {
-			if now.Sub(cd.since) > drainPeriod && now.Sub(mst.waitLoggedAt) > waitLogInterval {
+			if now.Sub(cd.since) <= drainPeriod {
+				continue
+			}
+			if key, ok := sc.movableRun(ctx, ls, rd, ca.worker, *step, now); ok {
+				sc.evict(ls, ca.worker, key)
+			}
+			if now.Sub(mst.waitLoggedAt) > waitLogInterval {
 				mst.waitLoggedAt = now
-				if key, ok := sc.movableRun(ctx, ls, rd, ca.worker, *step, now); ok {
-					sc.evict(ls, ca.worker, key)
-				}
 				_ = sc.Logger.Log("level", "info", "msg", "maintenance blocked by unavailable tasks", "machine", ca.machine, "worker", ca.worker,
 					"wave", wv.Number, "job", step.Job, "step", step, "away", unavailable)
 			}
@@ -251,16 +254,26 @@
 	return here[0], sc.fitsElsewhere(ctx, ls, rd, id, here[0], now)
 }
 
-// fitsElsewhere reports whether a worker other than the given one can take a run's task now.
+// fitsElsewhere reports whether a worker other than the given one can take a run's task now,
+// beside the long-running tasks that wait or are evicted already.
 func (sc *Scheduler) fitsElsewhere(ctx context.Context, ls *leaderState, rd store.Reader, id weir.InstanceID, key weir.RunKey, now time.Time) bool {
 	js := rd.Job(key.Task.Job)
 	qu, ok := rd.Queue(js.Spec.Queue)
 	if !ok {
 		return false
 	}
-	gr, _ := sc.group(ls, js, qu, key.Task.Occurrence, key.Task.Step, nil)
-	workers := sc.usableWorkers(ls, rd, now, []pendingJob{{job: js, queue: qu}})
+	jobs := append(sc.pendingLongRunning(ls, rd), pendingJob{job: js, queue: qu})
+	workers := sc.usableWorkers(ls, rd, now, jobs)
 	workers = slices.DeleteFunc(workers, func(wk workerView) bool { return wk.ID == id })
+	groups := sc.longRunningGroups(ctx, ls, rd, jobs[:len(jobs)-1], maxFreeByPool(workers), now)
+	placed := sc.placeInTheEnd(rd, groups, workers)
+	workers = placement.Reserve(workers, groups, placed)
+	gr, _ := sc.group(ls, js, qu, key.Task.Occurrence, key.Task.Step, nil)
+	for _, pl := range placed {
+		if pl.Task.StepRef() == gr.Step {
+			gr.RunsByWorker[pl.Worker]++
+		}
+	}
 	if qu.Adviser == nil {
 		return placement.Fits(gr, workers)
 	}
