fix: withdraw maintenance that the platform has not accepted

Maintenance was committed while both tasks of a step were at work; the platform refused it; the other task's worker was lost; five seconds later the platform accepted the repeated order, which ended the last task.

Cause: blocked maintenance was looked for before it was committed, not before each order. Only an answer of the platform ended a committed operation.

Change: an operation is judged again before each order. One that is blocked by then, or whose machine a waiting task needs, is not ordered, and is withdrawn if the platform has certainly not executed it (429, 503, not sent). After an order without a response it stays: "A call that receives no response may have been executed" (PROTOCOL.md).

Evidence: TestMaintenanceThatIsNotAcceptedIsTakenBack fails on the code before in both cases.

--- a/internal/job/scheduler/lapsed_wave_test.go
+++ b/internal/job/scheduler/lapsed_wave_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -53,6 +54,62 @@
 	}
 }
 
+// throttlingPlatform refuses orders while it is busy.
+type throttlingPlatform struct {
+	*maintenancePlatform
+	busy bool
+	// unanswered counts the orders that get no response first.
+	unanswered int
+}
+
+func (tp *throttlingPlatform) Order(ctx context.Context, order weir.MachineOrder) (weir.MachineResponse, error) {
+	switch {
+	case tp.unanswered > 0:
+		tp.unanswered--
+		return "", errNoResponse
+	case tp.busy:
+		return weir.MachineThrottled, nil
+	}
+	return tp.maintenancePlatform.Order(ctx, order)
+}
+
+// TestMaintenanceThatIsNotAcceptedIsTakenBack guards against maintenance that ends the last
+// task at work, or keeps its machine from work, because it was ordered before the other task's
+// worker was lost, and the platform accepts it only later (`late-upkeep` of the review).
+func TestMaintenanceThatIsNotAcceptedIsTakenBack(t *testing.T) {
+	one, four := spec.Resources{MilliCPU: 1000}, spec.Resources{MilliCPU: 4000}
+	for name, unanswered := range map[string]int{"refused": 0, "first without a response": 1} {
+		t.Run(name, func(t *testing.T) {
+			bw := newBlockedWave(t, nil, store.Worker{ID: "w0", Capacity: four}, store.Worker{ID: "w1", Capacity: four})
+			tp := &throttlingPlatform{maintenancePlatform: bw.maintenancePlatform, busy: true, unanswered: unanswered}
+			bw.sp.sc.Machines = tp
+			bw.start("a", spec.Step{Count: 2, Resources: one, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 1})
+			bw.begin()
+			bw.pass(noticeBlocked, func() bool {
+				_, ordered := machineOperation(bw, "mw0")
+				return ordered
+			})
+			bw.sp.workers.down["w1"] = true
+			bw.sp.apply(store.Change{Leave: &store.WorkerLeave{ID: "w1", Incarnation: 1}})
+			bw.never(time.Second, bw.over, "the platform is busy")
+			tp.busy = false
+			bw.never(20*time.Second, func() bool { return bw.over() || bw.atWork("a") < 1 }, "the last task at work is ended")
+			if unanswered == 0 {
+				bw.sp.apply(store.Change{Submit: &spec.Job{ID: "b", Queue: "h/q/", Steps: []spec.Step{{Count: 1, Resources: one}}}})
+				bw.pass(restartTime, func() bool { return bw.atWork("b") == 1 })
+			}
+			delete(bw.sp.workers.down, "w1")
+			bw.rejoin("w1", 2)
+			bw.pass(20*time.Second, bw.over)
+		})
+	}
+}
+
+func machineOperation(bw *blockedWave, machine string) (op store.MachineOperation, ok bool) {
+	bw.sp.gl.st.Read(func(rd store.Reader) { op, ok = rd.MachineOperation(machine) })
+	return op, ok
+}
+
 // TestEvictedTaskKeepsItsPlace guards against a long-running task that waits because the
 // place that it was evicted for is given to another task, or to another evicted one.
 func TestEvictedTaskKeepsItsPlace(t *testing.T) {
--- a/internal/job/scheduler/machines.go
+++ b/internal/job/scheduler/machines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -81,6 +82,9 @@
 	// orderedHere holds machines for which this leader has submitted an
 	// operation.
 	orderedHere map[string]bool
+	// mayBeExecuted holds machines of which an order got no response, or one that leaves
+	// open whether the platform has executed it.
+	mayBeExecuted map[string]bool
 	// acceptedAt is when the platform last accepted an order for a machine.
 	acceptedAt map[string]time.Time
 	// away holds machines that are not back from the last operation that the platform
@@ -102,7 +106,7 @@
 		limiter: limiter,
 		cordon:  map[string]cordon{}, blocked: map[string]blockedMaintenance{}, lastOrderAt: map[string]time.Time{}, inFlight: map[string]bool{},
 		draining: map[string]bool{}, listed: map[string]weir.Machine{}, destinations: map[string]destination{},
-		demandHistory: map[weir.PoolName][]demandSample{}, pendingCommit: map[string]bool{}, orderedHere: map[string]bool{}, acceptedAt: map[string]time.Time{}, away: map[string]int64{}, endedIncarnation: map[string]int64{},
+		demandHistory: map[weir.PoolName][]demandSample{}, pendingCommit: map[string]bool{}, orderedHere: map[string]bool{}, mayBeExecuted: map[string]bool{}, acceptedAt: map[string]time.Time{}, away: map[string]int64{}, endedIncarnation: map[string]int64{},
 	}
 }
 
@@ -135,6 +139,8 @@
 	}
 	_, ordered := rd.MachineOperation(machine)
 	switch {
+	case ordered && mst.mayWithdraw(machine):
+		return orderNotAccepted
 	case ordered || mst.pendingCommit[machine]:
 		return machineOrdered
 	case mst.cordoned(machine):
@@ -187,7 +193,10 @@
 	}
 	mst := ls.machines
 	var orders []weir.MachineOrder
-	sc.Store.Read(func(rd store.Reader) { orders = sc.pendingOrders(ls, rd, now) })
+	sc.Store.Read(func(rd store.Reader) {
+		sc.withdrawHeld(ls, rd)
+		orders = sc.pendingOrders(ls, rd, now)
+	})
 	for _, order := range orders {
 		if len(mst.inFlight) >= maxOrdersInFlight || !mst.limiter.AllowN(now, 1) {
 			return
@@ -225,7 +234,7 @@
 	mst := ls.machines
 	var orders []weir.MachineOrder
 	rd.EachMachineOperation(func(op store.MachineOperation) {
-		if !mst.inFlight[op.Machine] && now.Sub(mst.lastOrderAt[op.Machine]) >= orderRetryInterval && sc.mayOrder(ls, rd, op.Machine, now) {
+		if !mst.inFlight[op.Machine] && !sc.held(ls, rd, op) && now.Sub(mst.lastOrderAt[op.Machine]) >= orderRetryInterval && sc.mayOrder(ls, rd, op.Machine, now) {
 			orders = append(orders, weir.MachineOrder{
 				Machine: op.Machine, LeaseHolder: sc.LeaseHolder, Token: ls.term, Wave: op.Wave, Pool: op.Pool, Permitted: func() bool { return sc.leadsTerm(ls.term) },
 			})
@@ -247,6 +256,51 @@
 	return orders
 }
 
+// held reports whether an operation is not to be ordered for now: it is maintenance that
+// would make more tasks of a step unavailable than the step allows, since others became so
+// after it was committed, or a waiting task needs the machine.
+func (sc *Scheduler) held(ls *leaderState, rd store.Reader, op store.MachineOperation) bool {
+	if ls.machines.needed[op.Machine] {
+		return true
+	}
+	wk, ok := rd.Worker(op.Worker)
+	if op.Wave == 0 || !ok || wk.Incarnation != op.Incarnation {
+		return false
+	}
+	step, _ := sc.blockingStep(ls, rd, op.Worker)
+	return step != nil
+}
+
+// mayWithdraw reports whether the platform has certainly not executed an operation on a
+// machine that this leader has committed, and will not do so.
+func (mst *machineState) mayWithdraw(machine string) bool {
+	return mst.orderedHere[machine] && !mst.mayBeExecuted[machine] && !mst.pendingCommit[machine] && !mst.inFlight[machine]
+}
+
+// withdrawHeld withdraws the operations that are held and not executed, so that their
+// machines go on with their work.
+func (sc *Scheduler) withdrawHeld(ls *leaderState, rd store.Reader) {
+	mst := ls.machines
+	rd.EachMachineOperation(func(op store.MachineOperation) {
+		if !mst.mayWithdraw(op.Machine) || !sc.held(ls, rd, op) {
+			return
+		}
+		_ = sc.Logger.Log("level", "info", "msg", "machine operation withdrawn", "machine", op.Machine, "wave", op.Wave, "pool", op.Pool,
+			"worker", op.Worker, "needed", mst.needed[op.Machine])
+		change := &store.MachineOperation{Machine: op.Machine, Wave: op.Wave, Pool: op.Pool, Withdrawn: true}
+		mst.inFlight[op.Machine] = true
+		recorded := func([]store.Result, error) {
+			sc.mu.Lock()
+			delete(mst.inFlight, op.Machine)
+			sc.mu.Unlock()
+			sc.Wake()
+		}
+		if !sc.Committer.Submit([]store.Change{{Machine: change}}, recorded) {
+			delete(mst.inFlight, op.Machine)
+		}
+	})
+}
+
 // commitOperation commits an operation on a machine, which will end the machine's
 // current worker. The order is sent once the operation is applied to the state.
 func (sc *Scheduler) commitOperation(ls *leaderState, op store.MachineOperation, wk store.Worker) {
@@ -254,6 +308,7 @@
 	op.Worker, op.Incarnation = wk.ID, wk.Incarnation
 	mst.pendingCommit[op.Machine] = true
 	mst.orderedHere[op.Machine] = true
+	delete(mst.mayBeExecuted, op.Machine)
 	done := func([]store.Result, error) {
 		sc.mu.Lock()
 		delete(mst.pendingCommit, op.Machine)
@@ -307,6 +362,11 @@
 	resp, err := sc.Machines.Order(callCtx, order)
 	_ = sc.Logger.Log("level", "info", "msg", "machine order sent", "machine", order.Machine, "wave", order.Wave,
 		"pool", order.Pool, "answer", string(resp), "err", err)
+	if err != nil || resp == weir.MachineBusy {
+		sc.mu.Lock()
+		ls.machines.mayBeExecuted[order.Machine] = ls.machines.mayBeExecuted[order.Machine] || !errors.Is(err, weir.ErrNotSent)
+		sc.mu.Unlock()
+	}
 	if err != nil {
 		sc.recordMachineResponse(ls, order, nil)
 		return
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -342,6 +342,7 @@
 	workerRestarted  unavailability = "started again"
 	workerSilent     unavailability = "not responding"
 	machineOrdered   unavailability = "maintenance or move ordered"
+	orderNotAccepted unavailability = "maintenance or move not accepted yet"
 	cordonedForWave  unavailability = "cordoned"
 	leavesPool       unavailability = "about to move"
 	backsOff         unavailability = "in backoff"
--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -172,7 +172,7 @@
 }
 
 // MachineOperation records that an operation on a machine was ordered, has
-// started, or was not executed.
+// started, was not executed, or was withdrawn.
 type MachineOperation struct {
 	Machine string `json:"machine"`
 	// Wave is set for maintenance, Pool for a move.
@@ -185,4 +185,7 @@
 	// NotExecuted says that the platform certainly did not execute the operation
 	// and will not do so.
 	NotExecuted bool `json:"void,omitempty"`
+	// Withdrawn says that the platform has not executed the operation and that it is not
+	// ordered any more; it may be ordered again later.
+	Withdrawn bool `json:"back,omitempty"`
 }
--- a/internal/job/store/restore_test.go
+++ b/internal/job/store/restore_test.go
@@ -55,6 +55,7 @@
 		func() Change {
 			op := &MachineOperation{Machine: machine, Wave: wave, Worker: weir.InstanceID(fmt.Sprint("w", worker)), Incarnation: incarnation}
 			op.Started, op.NotExecuted = rapid.Bool().Draw(rt, "started"), rapid.Bool().Draw(rt, "not executed")
+			op.Withdrawn = rapid.Bool().Draw(rt, "withdrawn")
 			return Change{Machine: op}
 		},
 		func() Change {
--- a/internal/job/store/workers.go
+++ b/internal/job/store/workers.go
@@ -154,6 +154,10 @@
 }
 
 func (st *state) applyMachine(op *MachineOperation) Result {
+	if op.Withdrawn {
+		delete(st.MachineOperations, op.Machine)
+		return applied
+	}
 	if !op.Started && !op.NotExecuted {
 		if st.MachineOperations[op.Machine] != nil {
 			return refused("an operation is in progress")
