fix: query the adviser about all workers

And a task that lasts stays without a run if its policy allows only a worker whose machine is cordoned.

Cause: a query names at most a hundred workers. After a response without a ticket the next query named the same ones. Cordoned workers were never named.

Change: workers that were allowed before come first, then those that the adviser was not queried about. For long-running steps the query also names workers that would take tasks again if such a task needed them.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -46,12 +46,45 @@
 	out := adviceEntry{tickets: maps.Clone(ad.tickets), asked: maps.Clone(ad.asked), until: ad.until, retryAt: retryAt}
 	maps.Copy(out.tickets, tickets)
 	maps.Copy(out.asked, asked)
-	if len(tickets) > 0 && until.Before(out.until) {
+	if len(tickets) > 0 && (len(ad.tickets) == 0 || until.Before(out.until)) {
 		out.until = until
 	}
 	return out
 }
 
+// answered returns the entry after the response to a query about the asked workers, which
+// arrived at the time now. As long as the adviser has allowed no worker, the next query is
+// about others.
+func (ad *adviceEntry) answered(tickets map[weir.InstanceID]string, asked map[weir.InstanceID]int64, until, retryAt, now time.Time) adviceEntry {
+	if ad != nil && ad.asked != nil && (now.Before(ad.until) || len(ad.tickets) == 0) {
+		return ad.with(tickets, asked, until, retryAt)
+	}
+	if len(tickets) == 0 {
+		until = time.Time{}
+	}
+	return adviceEntry{tickets: tickets, asked: asked, until: until, retryAt: retryAt}
+}
+
+// sortForQuery sorts workers so that the adviser is queried first about those that it
+// has allowed before, then about those that it was not queried about, those with most free
+// CPU first.
+func (ad *adviceEntry) sortForQuery(workers []workerView) {
+	rank := func(wk workerView) int {
+		switch {
+		case ad == nil:
+			return 0
+		case ad.tickets[wk.ID] != "":
+			return 0
+		case ad.asked[wk.ID] != wk.Incarnation:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(workers, func(one, other workerView) int {
+		return cmp.Or(cmp.Compare(rank(one), rank(other)), cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU), cmp.Compare(one.ID, other.ID))
+	})
+}
+
 // unasked returns the workers with enough resources for a task of the group that
 // the adviser was not queried about.
 func (ad adviceEntry) unasked(gr placement.Group, workers []workerView) []workerView {
@@ -86,15 +119,24 @@
 	if ls.adviceInFlight || sc.Adviser == nil || (ad != nil && now.Before(ad.retryAt)) {
 		return nil
 	}
-	sc.askAdviser(ctx, ls, step, *qu.Adviser, sc.usableWorkers(ls, rd, now, []pendingJob{{queue: qu}}))
+	sc.askAdviser(ctx, ls, step, *qu.Adviser, sc.askableWorkers(ls, rd, step, qu, now))
 	return nil
 }
 
+// askableWorkers returns the workers that the adviser is queried about for a step: those
+// that are usable, and for a long-running one also those that would be if it needed them.
+func (sc *Scheduler) askableWorkers(ls *leaderState, rd store.Reader, step weir.TaskRef, qu catalog.Queue, now time.Time) []workerView {
+	longRunning := rd.Job(step.Job).Spec.Steps[step.Step].LongRunning
+	return sc.workersIn(ls, rd, now, []pendingJob{{queue: qu}}, func(un unavailability) bool {
+		return un == available || longRunning && un.endsForNeed()
+	})
+}
+
 // adviseOnNewWorkers queries the adviser for one step that has tickets, but tasks
 // left without a worker, about the workers that have become usable since. Steps
 // without tickets go first; see tickets.
-func (sc *Scheduler) adviseOnNewWorkers(ctx context.Context, ls *leaderState, rd store.Reader, groups []placement.Group, starts []placement.Placement, workers []workerView) {
-	if sc.Adviser == nil {
+func (sc *Scheduler) adviseOnNewWorkers(ctx context.Context, ls *leaderState, rd store.Reader, groups []placement.Group, starts []placement.Placement) {
+	if sc.Adviser == nil || ls.adviceInFlight {
 		return
 	}
 	placed := map[weir.TaskRef]int{}
@@ -106,7 +148,7 @@
 			continue
 		}
 		if qu, ok := rd.Queue(rd.Job(gr.Step.Job).Spec.Queue); ok && qu.Adviser != nil {
-			sc.adviseOnUnasked(ctx, ls, gr, qu, workers)
+			sc.adviseOnUnasked(ctx, ls, gr, qu, sc.askableWorkers(ls, rd, gr.Step, qu, sc.Clock.Now()))
 		}
 	}
 }
@@ -121,15 +163,13 @@
 	sc.askAdviser(ctx, ls, gr.Step, *qu.Adviser, ad.unasked(gr, workers))
 }
 
-// askAdviser queries the adviser in the background about the workers with most free
-// CPU, if there are any.
+// askAdviser queries the adviser in the background about as many of the workers as it
+// takes, if there are any.
 func (sc *Scheduler) askAdviser(ctx context.Context, ls *leaderState, step weir.TaskRef, settings catalog.AdviserSettings, workers []workerView) {
 	if len(workers) == 0 {
 		return
 	}
-	slices.SortFunc(workers, func(one, other workerView) int {
-		return cmp.Or(cmp.Compare(other.Free.MilliCPU, one.Free.MilliCPU), cmp.Compare(one.ID, other.ID))
-	})
+	ls.advice[step].sortForQuery(workers)
 	workers = workers[:min(len(workers), maxAdviceWorkers)]
 	ls.adviceInFlight = true
 	sc.inBackground(func() { sc.queryAdviser(ctx, ls, step, settings, workers) })
@@ -158,14 +198,9 @@
 		old.retryAt = retryAt
 	case err != nil:
 		ls.advice[step] = &adviceEntry{retryAt: retryAt}
-	case old != nil && answered.Before(old.until):
-		ad := old.with(advice.Tickets, incarnations, until, retryAt)
-		ls.advice[step] = &ad
 	default:
-		if len(advice.Tickets) == 0 {
-			until = time.Time{}
-		}
-		ls.advice[step] = &adviceEntry{tickets: advice.Tickets, asked: incarnations, until: until, retryAt: retryAt}
+		ad := old.answered(advice.Tickets, incarnations, until, retryAt, answered)
+		ls.advice[step] = &ad
 	}
 	for ref, old := range ls.advice {
 		if sc.Clock.Now().Sub(old.retryAt) > sc.Retention {
--- a/internal/job/scheduler/advice_test.go
+++ b/internal/job/scheduler/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -103,3 +104,27 @@
 	sp.settle()
 	require.Len(t, pa.queries, 3, "no task waits")
 }
+
+// TestAdviserIsAskedAboutAllWorkers guards against a task that never starts because the
+// adviser, which takes a limited number of workers a query, is asked about the same ones
+// again and again (`adviser-page` of the third review).
+func TestAdviserIsAskedAboutAllWorkers(t *testing.T) {
+	sp, pa := advisedTasks(t, 1)
+	for ix := range 2*maxAdviceWorkers + 10 {
+		sp.joinWith(weir.InstanceID(fmt.Sprintf("bad-%03d", ix)), 1, spec.Resources{MilliCPU: 8000})
+	}
+	sp.join("good-1", 1)
+	require.Equal(t, []weir.InstanceID{"good-1"}, sp.settle())
+	require.Len(t, pa.queries, 3)
+}
+
+// TestAdviserIsAskedAboutCordonedWorkers guards against a long-running task without a run
+// though the only worker that it may run on has room, since its machine is due for maintenance.
+func TestAdviserIsAskedAboutCordonedWorkers(t *testing.T) {
+	bw := newBlockedWave(t, allowList{"w0": true}, store.Worker{ID: "w0", Capacity: spec.Resources{MilliCPU: 4000}}, store.Worker{ID: "w1", Capacity: spec.Resources{MilliCPU: 4000}})
+	bw.start("b", spec.Step{Count: 2, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1})
+	bw.begin()
+	bw.never(time.Second, bw.over, "the tasks have no other place")
+	bw.sp.submit(spec.Step{Count: 1, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true})
+	bw.pass(restartTime, func() bool { return bw.atWork("a") == 1 })
+}
--- a/internal/job/scheduler/needed.go
+++ b/internal/job/scheduler/needed.go
@@ -23,9 +23,7 @@
 		return nil
 	}
 	usable := sc.usableWorkers(ls, rd, now, jobs)
-	withheld := sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool {
-		return un == cordonedForWave || un == leavesPool || un == orderNotAccepted
-	})
+	withheld := sc.workersIn(ls, rd, now, jobs, unavailability.endsForNeed)
 	groups := sc.longRunningGroups(ctx, ls, rd, jobs, maxFreeByPool(slices.Concat(usable, withheld)), now)
 	for ix := range usable {
 		wk, _ := rd.Worker(usable[ix].ID)
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -33,7 +33,7 @@
 		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers), ls.doubtfulTasks(now))
 		teams, pools := teamUse(rd, jobs, sc.Wall.Now())
 		starts = placement.Place(sc.Wall.Now(), groups, workers, teams, pools)
-		sc.adviseOnNewWorkers(ctx, ls, rd, groups, starts, workers)
+		sc.adviseOnNewWorkers(ctx, ls, rd, groups, starts)
 	})
 	if len(starts) == 0 {
 		return
@@ -349,6 +349,12 @@
 	workerNotInState unavailability = "gone"
 )
 
+// endsForNeed reports whether a worker takes tasks again if a waiting long-running task
+// needs it; see neededMachines.
+func (un unavailability) endsForNeed() bool {
+	return un == orderNotAccepted || un == cordonedForWave || un == leavesPool
+}
+
 // workerUnavailability returns why the worker of a session takes no tasks now.
 func (sc *Scheduler) workerUnavailability(ls *leaderState, rd store.Reader, id weir.InstanceID, ws *workerSession, now time.Time) unavailability {
 	wk, ok := rd.Worker(id)
