fix: bound the backoff for long-running tasks

What callers see: a task that lasts has no run for up to 4 s beside a sound worker with room, because that worker is in backoff. Long-running runs only ever fail, never end done, so that a worker that runs nothing else goes from one longest backoff to the next.

Cause: backoff saves the few attempts of other tasks, and held up long-running tasks too, whose attempts are not limited.

Change: a long-running task that has waited for 2 s is also placed on a worker in backoff, if no other has room.

TestBackoffLeavesLongRunningTasksARun fails on the code before (over 3 s).

--- a/internal/job/scheduler/health.go
+++ b/internal/job/scheduler/health.go
@@ -22,6 +22,9 @@
 	// worker must not use them up.
 	backoffMin = 500 * time.Millisecond
 	backoffMax = 4 * time.Second
+	// longestBackoff is how long a long-running task has no run because the workers that
+	// have room for it are in backoff. Its attempts are not limited.
+	longestBackoff = 2 * time.Second
 	// refusalBackoff is how long a worker gets no tasks after it refused a start.
 	refusalBackoff = 250 * time.Millisecond
 )
--- a/internal/job/scheduler/lapsed_wave_test.go
+++ b/internal/job/scheduler/lapsed_wave_test.go
@@ -145,3 +145,19 @@
 		bw.never(2*waitLogInterval, func() bool { return len(bw.sp.ls.evicted) > 1 }, "a second task is evicted for the same place")
 	})
 }
+
+// TestBackoffLeavesLongRunningTasksARun guards against a long-running task that has no run
+// for as long as the only worker that has room for it is in backoff after failures.
+func TestBackoffLeavesLongRunningTasksARun(t *testing.T) {
+	one := spec.Resources{MilliCPU: 1000}
+	bw := newBlockedWave(t, nil, store.Worker{ID: "w0", Capacity: spec.Resources{MilliCPU: 4000}})
+	bw.start("a", spec.Step{Count: 1, Resources: one, LongRunning: true})
+	bw.sp.ls.health["w0"] = &health{failures: backoffAfter + 3, backoff: backoffMax, backoffUntil: bw.sp.clk.Now().Add(backoffMax)}
+	bw.lapse("w0")
+	bw.sp.apply(store.Change{Submit: &spec.Job{ID: "b", Queue: "h/q/", Steps: []spec.Step{{Count: 1, Resources: one}}}})
+	bw.pass(restartTime, func() bool {
+		require.Zero(t, bw.atWork("b"), "its attempts are few")
+		return bw.atWork("a") == 1
+	})
+	bw.pass(backoffMax, func() bool { return bw.atWork("b") == 1 })
+}
--- a/internal/job/scheduler/needed.go
+++ b/internal/job/scheduler/needed.go
@@ -22,7 +22,7 @@
 	if len(jobs) == 0 {
 		return nil
 	}
-	usable := sc.usableWorkers(ls, rd, now, jobs)
+	usable := sc.placeableWorkers(ls, rd, now, jobs)
 	withheld := sc.workersIn(ls, rd, now, jobs, unavailability.endsForNeed)
 	groups := sc.longRunningGroups(ctx, ls, rd, jobs, maxFreeByPool(slices.Concat(usable, withheld)), now)
 	for ix := range usable {
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -29,7 +29,7 @@
 		if len(jobs) == 0 {
 			return
 		}
-		workers := sc.usableWorkers(ls, rd, now, jobs)
+		workers := sc.placeableWorkers(ls, rd, now, jobs)
 		groups := sc.readyGroups(ctx, ls, rd, jobs, maxFreeByPool(workers), ls.doubtfulTasks(now))
 		teams, pools := teamUse(rd, jobs, sc.Wall.Now())
 		starts = placement.Place(sc.Wall.Now(), groups, workers, teams, pools)
@@ -271,10 +271,12 @@
 			continue
 		}
 		if !tk.Done && !doubtful[ref] {
+			since := tk.WaitingSince(js.Accepted)
 			gr.Tasks = append(gr.Tasks, placement.Task{
-				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: tk.WaitingSince(js.Accepted),
+				Index: ix, Run: tk.Run + 1, Checkpoint: tk.Checkpoint, AvoidWorker: ls.avoidWorker[ref], WaitingSince: since,
 				Suspect: tk.Suspect(),
 			})
+			gr.EndsBackoff = gr.EndsBackoff || step.LongRunning && sc.Wall.Now().Sub(since) >= longestBackoff
 		}
 	}
 	if step.Gang {
@@ -382,6 +384,12 @@
 	return sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool { return un == available })
 }
 
+// placeableWorkers returns the workers that can take tasks of the given jobs now, and those
+// in backoff, which are there for long-running tasks that have no other.
+func (sc *Scheduler) placeableWorkers(ls *leaderState, rd store.Reader, now time.Time, jobs []pendingJob) []placement.Worker {
+	return sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool { return un == available || un == backsOff })
+}
+
 // workersIn returns the workers of the given jobs' pools whose unavailability is accepted.
 func (sc *Scheduler) workersIn(ls *leaderState, rd store.Reader, now time.Time, jobs []pendingJob, accept func(un unavailability) bool) []placement.Worker {
 	pools := map[weir.PoolName]bool{}
@@ -391,12 +399,16 @@
 	suspects, reserved := sc.suspectRuns(rd)
 	workers := make([]placement.Worker, 0, len(ls.sessions))
 	for id, ws := range ls.sessions {
-		if !pools[ws.worker.Pool] || !accept(sc.workerUnavailability(ls, rd, id, ws, now)) {
+		if !pools[ws.worker.Pool] {
+			continue
+		}
+		un := sc.workerUnavailability(ls, rd, id, ws, now)
+		if !accept(un) {
 			continue
 		}
 		wk, _ := rd.Worker(id)
 		hl := ls.health[id]
-		pw := placement.Worker{ID: id, Incarnation: wk.Incarnation, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Suspect: hl.suspect(now), SuspectJobs: suspects[id], ReservedFor: reserved[id]}
+		pw := placement.Worker{ID: id, Incarnation: wk.Incarnation, Pool: wk.Pool, Kind: wk.Kind, Rack: wk.Rack, Suspect: hl.suspect(now), InBackoff: un == backsOff, SuspectJobs: suspects[id], ReservedFor: reserved[id]}
 		load := rd.WorkerLoad(id)
 		pw.Free, pw.Serving, pw.BestEffort = wk.Capacity.Minus(load.Used), load.Serving, load.BestEffort
 		workers = append(workers, pw)
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -71,6 +71,9 @@
 	// AllowedWorkers holds the workers that may run the step, with their tickets;
 	// nil allows all workers.
 	AllowedWorkers map[weir.InstanceID]string
+	// EndsBackoff says that the tasks have waited so long that they are also placed on
+	// workers in backoff.
+	EndsBackoff bool
 }
 
 // Worker is a worker that may take tasks.
@@ -90,6 +93,8 @@
 	// suspect tasks, which SuspectJobs holds the jobs of.
 	Suspect     bool
 	SuspectJobs map[weir.JobID]bool
+	// InBackoff workers take only tasks of groups with EndsBackoff, and if no other fits.
+	InBackoff bool
 	// ReservedFor is the job of a suspect task that was started a moment ago: if the
 	// worker crashes, no other job must come into question.
 	ReservedFor weir.JobID
@@ -356,6 +361,9 @@
 	if wk.ReservedFor != "" && wk.ReservedFor != gr.Step.Job {
 		return false
 	}
+	if wk.InBackoff && !gr.EndsBackoff {
+		return false
+	}
 	if _, ok := gr.AllowedWorkers[wk.ID]; gr.AllowedWorkers != nil && !ok {
 		return false
 	}
@@ -479,7 +487,7 @@
 }
 
 // avoided reports whether other workers are preferred.
-func (wk *Worker) avoided() bool { return wk.Suspect || len(wk.SuspectJobs) > 0 }
+func (wk *Worker) avoided() bool { return wk.Suspect || wk.InBackoff || len(wk.SuspectJobs) > 0 }
 
 // pinned reports whether long-running tasks prevent the worker's machine from
 // moving to another pool.
