feat: log why a long-running task has no run

The logs could not tell why a task that lasts waits: a cordon, a worker that does not respond and a worker without room looked the same.

--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -73,6 +73,7 @@
 				"freeMilliCPU", free[pool].MilliCPU, "freeMemoryMB", free[pool].MemoryMB)
 		}
 		sc.reportTeamsAboveShare(rd, jobs, waits)
+		sc.reportLongRunningWaits(ls, rd, jobs, now)
 	})
 }
 
--- a/internal/schedule/placement/placement.go
+++ b/internal/schedule/placement/placement.go
@@ -356,29 +356,59 @@
 	return count
 }
 
-func (wk *Worker) accepts(gr Group, on map[weir.InstanceID]int) bool {
+// Refusal is why a worker takes no task of a group now.
+type Refusal string
+
+// The refusals; Accepted is none.
+const (
+	Accepted         Refusal = ""
+	RefusedPool      Refusal = "another pool"
+	RefusedIsolation Refusal = "reserved for a suspect task"
+	RefusedBackoff   Refusal = "in backoff"
+	RefusedPolicy    Refusal = "not allowed by the adviser"
+	RefusedLabel     Refusal = "another kind or rack"
+	RefusedLimit     Refusal = "limit of tasks on a worker"
+	RefusedRoom      Refusal = "no room"
+)
+
+// Refusal returns why the worker takes no task of a group now.
+func (wk *Worker) Refusal(gr Group) Refusal {
+	if wk.Pool != gr.Pool {
+		return RefusedPool
+	}
+	return wk.refusal(gr, gr.RunsByWorker)
+}
+
+func (wk *Worker) refusal(gr Group, on map[weir.InstanceID]int) Refusal {
 	st := gr.Spec
 	if wk.ReservedFor != "" && wk.ReservedFor != gr.Step.Job {
-		return false
+		return RefusedIsolation
 	}
 	if wk.InBackoff && !gr.EndsBackoff {
-		return false
+		return RefusedBackoff
 	}
 	if _, ok := gr.AllowedWorkers[wk.ID]; gr.AllowedWorkers != nil && !ok {
-		return false
+		return RefusedPolicy
 	}
 	if st.Label != "" && st.Label != wk.Kind && st.Label != wk.Rack {
-		return false
+		return RefusedLabel
 	}
 	if st.MaxPerWorker > 0 && on[wk.ID] >= st.MaxPerWorker {
-		return false
+		return RefusedLimit
 	}
-	return st.Reserved().Fits(wk.Free)
+	if !st.Reserved().Fits(wk.Free) {
+		return RefusedRoom
+	}
+	return Accepted
+}
+
+func (wk *Worker) accepts(gr Group, on map[weir.InstanceID]int) bool {
+	return wk.refusal(gr, on) == Accepted
 }
 
 // Fits reports whether one of the workers accepts a task of the group.
 func Fits(gr Group, workers []Worker) bool {
-	return slices.ContainsFunc(workers, func(wk Worker) bool { return wk.Pool == gr.Pool && wk.accepts(gr, gr.RunsByWorker) })
+	return slices.ContainsFunc(workers, func(wk Worker) bool { return wk.Refusal(gr) == Accepted })
 }
 
 // Without returns the groups with the tasks that the given placements leave.
