fix: wait for the late start of a stopped run whose worker is lost

A start gets no answer, its run is stopped and the task is tried again on the same worker, which crashes and comes back behind a cut. There the first start is carried out beside a third run elsewhere.

Cause: since a confirmed stop counted as an answer to the start. The incarnation that confirmed it refuses the run; the next one does not know of the stop.

Change: such a start stays outstanding for its worker. A worker that announces itself again and lists an earlier run of a task has to stop it before the task starts anew.

Evidence: TestLateStartOfAStoppedRun fails on the code before in both cases: run 1 starts at w0 while run 3 is at w1. session.TestStoppedStartHoldsUpNothing asked that the start be forgotten, which is the fault.

--- a/internal/job/scheduler/unanswered_orders_test.go
+++ b/internal/job/scheduler/unanswered_orders_test.go
@@ -128,6 +128,53 @@
 	}
 }
 
+// TestLateStartOfAStoppedRun guards against a task that runs twice because its first start
+// was not answered and was stopped, the task was started again on the same worker, and that
+// worker has crashed since and carries out the first start as an incarnation behind a cut.
+func TestLateStartOfAStoppedRun(t *testing.T) {
+	for name, announces := range map[string]bool{"the worker stays away": false, "the worker announces itself": true} {
+		t.Run(name, func(t *testing.T) {
+			un := newUnanswered(t)
+			first := un.start("a", true)
+			sent := un.stepped.clk.Now()
+			un.late["w0"] = false
+			un.passUntil(noticeTime, func() bool { return un.models["w0"].Runs[weir.RunKey{Task: taskA, Run: 2}] })
+			un.join("w1", 1)
+			un.pass(time.Second)
+			un.late["w0"] = true
+			un.restart()
+			un.pass(5 * time.Second)
+			un.deliverFirst()
+			require.True(t, un.models["w0"].Runs[first], "the first start is carried out")
+			third := func() bool { return un.models["w1"].Runs[weir.RunKey{Task: taskA, Run: 3}] }
+			if announces {
+				un.late["w0"] = false
+				un.join("w0", 2)
+				un.passUntil(noticeTime, func() bool { return third() || un.models["w0"].Runs[weir.RunKey{Task: taskA, Run: 3}] })
+				return
+			}
+			un.passUntil(unansweredWait+noticeTime-un.stepped.clk.Now().Sub(sent), third)
+		})
+	}
+}
+
+// TestStoppedRunHoldsUpNoOtherWorker guards against a lasting task without a run for 22 s
+// because its first start was not answered and was stopped, if the run after that was on
+// another worker and both are lost.
+func TestStoppedRunHoldsUpNoOtherWorker(t *testing.T) {
+	un := newUnanswered(t)
+	un.models["w2"] = workermodel.New("w2", 1, un.stepped.clk.Now())
+	un.start("a", true)
+	un.late["w0"] = false
+	un.ls.avoidWorker[taskA] = "w0"
+	un.join("w1", 1)
+	un.passUntil(noticeTime, un.startsAgain)
+	un.pass(time.Second)
+	un.join("w2", 1)
+	un.late["w0"], un.late["w1"] = true, true
+	un.passUntil(leaseWait+noticeTime, func() bool { return un.models["w2"].Runs[weir.RunKey{Task: taskA, Run: 3}] })
+}
+
 // TestLateAcknowledgementOnUnknownIncarnation guards against a task that runs again
 // because both its start and an earlier acknowledgement are carried out by a worker that
 // has started again behind a cut, which then forgets an end that nobody has seen.
--- a/internal/task/session/outstanding.go
+++ b/internal/task/session/outstanding.go
@@ -26,7 +26,8 @@
 //   - An incarnation that has answered an order with a higher token refuses those with
 //     lower ones, and its report says which runs it has. A run that it was told to stop and
 //     does not list is over, though an incarnation that starts after it may still carry out
-//     the start: waiting for that would hold up the task beside a sound worker.
+//     the start. That holds up no task beside a sound worker; but once a later run of the
+//     task is lost with the same worker, the next one waits for the start as well.
 //
 // Orders of earlier leaders are outstanding unless the replicated state says that the
 // start was answered. They count from the election, on this process's clock.
@@ -43,6 +44,8 @@
 	mu sync.Mutex
 	// starts holds when the starts were sent.
 	starts map[weir.RunKey]time.Time
+	// stopped holds when the starts were sent whose runs were stopped by their number.
+	stopped map[weir.RunKey]time.Time
 	// leases holds when the other orders that grant a lease were sent, by their number.
 	leases    map[int]time.Time
 	lastLease int
@@ -53,7 +56,7 @@
 
 // NewOutstanding returns an empty set for workers that accept leases up to maxLease.
 func NewOutstanding(maxLease time.Duration) *Outstanding {
-	return &Outstanding{maxLease: maxLease, starts: map[weir.RunKey]time.Time{}, leases: map[int]time.Time{}}
+	return &Outstanding{maxLease: maxLease, starts: map[weir.RunKey]time.Time{}, stopped: map[weir.RunKey]time.Time{}, leases: map[int]time.Time{}}
 }
 
 // StartSent records that the order to start a run is sent at the given time.
@@ -63,12 +66,24 @@
 	od.starts[key] = at
 }
 
-// StartAnswered records that the order to start a run was carried out or refused, that it
-// was not sent, or that the worker has stopped the run by its number.
+// StartAnswered records that the order to start a run was carried out or refused, or that it
+// was not sent.
 func (od *Outstanding) StartAnswered(key weir.RunKey) {
 	od.mu.Lock()
 	defer od.mu.Unlock()
 	delete(od.starts, key)
+	delete(od.stopped, key)
+}
+
+// RunStopped records that the worker has stopped a run by its number, whether or not it has
+// carried out the start.
+func (od *Outstanding) RunStopped(key weir.RunKey) {
+	od.mu.Lock()
+	defer od.mu.Unlock()
+	if sentAt, ok := od.starts[key]; ok {
+		delete(od.starts, key)
+		od.stopped[key] = sentAt
+	}
 }
 
 // LeaseSent records that an order which grants a lease, other than a start, is sent at
@@ -112,15 +127,17 @@
 func (od *Outstanding) ReportRequested(at time.Time) {
 	od.mu.Lock()
 	defer od.mu.Unlock()
-	for key, sentAt := range od.starts {
-		if at.Sub(sentAt) > maxOrderDelay {
-			delete(od.starts, key)
+	for _, starts := range []map[weir.RunKey]time.Time{od.starts, od.stopped} {
+		for key, sentAt := range starts {
+			if at.Sub(sentAt) > maxOrderDelay {
+				delete(starts, key)
+			}
 		}
 	}
 }
 
-// OverAt returns when the runs of a task that outstanding starts may begin are certainly
-// over. It returns the zero time if there are none.
+// OverAt returns when the runs of a task that outstanding starts may begin on a worker that
+// does not respond are certainly over. It returns the zero time if there are none.
 func (od *Outstanding) OverAt(task weir.TaskRef) time.Time {
 	od.mu.Lock()
 	defer od.mu.Unlock()
@@ -128,9 +145,11 @@
 }
 
 func (od *Outstanding) overAt(task weir.TaskRef) time.Time {
-	for key := range od.starts {
-		if key.Task == task {
-			return od.allOverAt()
+	for _, starts := range []map[weir.RunKey]time.Time{od.starts, od.stopped} {
+		for key := range starts {
+			if key.Task == task {
+				return od.allOverAt()
+			}
 		}
 	}
 	return time.Time{}
@@ -140,9 +159,11 @@
 // zero time if there is none.
 func (od *Outstanding) latestGrant() time.Time {
 	var latest time.Time
-	for _, sentAt := range od.starts {
-		if sentAt.After(latest) {
-			latest = sentAt
+	for _, starts := range []map[weir.RunKey]time.Time{od.starts, od.stopped} {
+		for _, sentAt := range starts {
+			if sentAt.After(latest) {
+				latest = sentAt
+			}
 		}
 	}
 	for _, sentAt := range od.leases {
--- a/internal/task/session/outstanding_test.go
+++ b/internal/task/session/outstanding_test.go
@@ -232,10 +232,11 @@
 	return weir.OrderResponse{}, rw.answer()
 }
 
-// TestStoppedStartHoldsUpNothing guards against a lasting task that has no run for 22 s
-// because an earlier start of it was not answered, though its worker has stopped that run,
-// and both workers are lost later.
-func TestStoppedStartHoldsUpNothing(t *testing.T) {
+// TestStoppedStartHoldsUpNoOtherWorker guards against a lasting task that has no run for 22 s
+// because an earlier start of it was not answered, though its worker has stopped that run and
+// the next one was elsewhere; and against one that is forgotten while it may still run on that
+// worker.
+func TestStoppedStartHoldsUpNoOtherWorker(t *testing.T) {
 	ss, rw := acknowledging(t)
 	rw.fails = true
 	key := sendStart(t, ss, "a")
@@ -248,5 +249,11 @@
 	rw.clk.Advance(time.Millisecond)
 	ss.RenewOnce(t.Context())
 	require.Len(t, ss.Reconcile(rw.clk.Now(), placed).Ends, 1)
+	doubtful := map[weir.TaskRef]bool{}
+	ss.Outstanding.DoubtfulTasks(rw.clk.Now(), doubtful)
+	require.Empty(t, doubtful)
+	require.False(t, ss.Outstanding.OverAt(key.Task).IsZero(), "the next incarnation may carry the start out")
+	rw.clk.Advance(maxOrderDelay)
+	ss.RenewOnce(t.Context())
 	require.True(t, ss.Outstanding.OverAt(key.Task).IsZero())
 }
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -572,6 +572,9 @@
 	}
 	_, listed := ss.lastReport.running[pl.Key]
 	dec := decide(now, *rn, ss.lastReport, listed, pl.Wanted)
+	if dec == decisionLost && ss.listsEarlierRun(pl.Key) {
+		dec = decisionWait // the earlier run is stopped first
+	}
 	if ss.committing && (dec == decisionRefused || dec == decisionLost) {
 		return
 	}
@@ -584,7 +587,7 @@
 		out.Refused[pl.Key] = rn.refusal
 	case decisionLost:
 		// This incarnation has ended the run, or refuses it by its number from now on.
-		ss.Outstanding.StartAnswered(pl.Key)
+		ss.Outstanding.RunStopped(pl.Key)
 		out.Ends = append(out.Ends, store.RunEnd{Task: pl.Key.Task, Run: pl.Key.Run, Reason: store.EndLost})
 	case decisionStop:
 		ss.stop(now, pl.Key, rn)
@@ -592,6 +595,17 @@
 	}
 }
 
+// listsEarlierRun reports whether the worker lists an earlier run of a run's task, whose
+// start it has carried out late.
+func (ss *Session) listsEarlierRun(key weir.RunKey) bool {
+	for other := range ss.lastReport.running {
+		if other.Task == key.Task && other.Run < key.Run {
+			return true
+		}
+	}
+	return false
+}
+
 // stopUnknown stops the runs that the worker lists but that are not placed there.
 func (ss *Session) stopUnknown(now time.Time, current map[weir.RunKey]bool) {
 	for key := range ss.lastReport.running {
