perf: judge held machine orders, and name workers that wait, only when needed

Orders that are not due were judged in each round; the line about a task that waits named all workers of a pool before it left out most; places were looked for though no long-running task waited. Not measured on its own.

--- a/internal/job/scheduler/machines.go
+++ b/internal/job/scheduler/machines.go
@@ -194,7 +194,7 @@
 	mst := ls.machines
 	var orders []weir.MachineOrder
 	sc.Store.Read(func(rd store.Reader) {
-		sc.withdrawHeld(ls, rd)
+		sc.withdrawHeld(ls, rd, now)
 		orders = sc.pendingOrders(ls, rd, now)
 	})
 	for _, order := range orders {
@@ -234,7 +234,7 @@
 	mst := ls.machines
 	var orders []weir.MachineOrder
 	rd.EachMachineOperation(func(op store.MachineOperation) {
-		if !mst.inFlight[op.Machine] && !sc.held(ls, rd, op) && now.Sub(mst.lastOrderAt[op.Machine]) >= orderRetryInterval && sc.mayOrder(ls, rd, op.Machine, now) {
+		if mst.orderDue(op.Machine, now) && sc.mayOrder(ls, rd, op.Machine, now) && !sc.held(ls, rd, op) {
 			orders = append(orders, weir.MachineOrder{
 				Machine: op.Machine, LeaseHolder: sc.LeaseHolder, Token: ls.term, Wave: op.Wave, Pool: op.Pool, Permitted: func() bool { return sc.leadsTerm(ls.term) },
 			})
@@ -256,6 +256,11 @@
 	return orders
 }
 
+// orderDue reports whether it is time to send, or to repeat, the order for a machine.
+func (mst *machineState) orderDue(machine string, now time.Time) bool {
+	return !mst.inFlight[machine] && now.Sub(mst.lastOrderAt[machine]) >= orderRetryInterval
+}
+
 // held reports whether an operation is not to be ordered for now: it is maintenance that
 // would make more tasks of a step unavailable than the step allows, since others became so
 // after it was committed, or a waiting task needs the machine.
@@ -279,10 +284,10 @@
 
 // withdrawHeld withdraws the operations that are held and not executed, so that their
 // machines go on with their work.
-func (sc *Scheduler) withdrawHeld(ls *leaderState, rd store.Reader) {
+func (sc *Scheduler) withdrawHeld(ls *leaderState, rd store.Reader, now time.Time) {
 	mst := ls.machines
 	rd.EachMachineOperation(func(op store.MachineOperation) {
-		if !mst.mayWithdraw(op.Machine) || !sc.held(ls, rd, op) {
+		if !mst.orderDue(op.Machine, now) || !mst.mayWithdraw(op.Machine) || !sc.held(ls, rd, op) {
 			return
 		}
 		_ = sc.Logger.Log("level", "info", "msg", "machine operation withdrawn", "machine", op.Machine, "wave", op.Wave, "pool", op.Pool,
--- a/internal/job/scheduler/needed.go
+++ b/internal/job/scheduler/needed.go
@@ -18,7 +18,7 @@
 // only for tasks that no others take, and machines that get no new tasks, because their
 // maintenance is about to start or they are about to move, only for what is left then.
 func (sc *Scheduler) neededMachines(ctx context.Context, ls *leaderState, rd store.Reader, due map[string]bool, now time.Time) map[string]bool {
-	jobs := sc.pendingLongRunning(ls, rd)
+	jobs := slices.DeleteFunc(sc.pendingLongRunning(ls, rd), func(pj pendingJob) bool { return !sc.longRunningWaits(ls, pj) })
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -46,6 +46,21 @@
 	return needed
 }
 
+// longRunningWaits reports whether a job has a long-running task that waits or is evicted.
+func (sc *Scheduler) longRunningWaits(ls *leaderState, pj pendingJob) bool {
+	for oc := range pj.job.Occurrences {
+		for sp := range pj.job.Spec.Steps {
+			if !pj.job.Spec.Steps[sp].LongRunning {
+				continue
+			}
+			if _, ok := sc.group(ls, pj.job, pj.queue, oc, sp, nil); ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // pendingLongRunning returns the jobs that may have long-running tasks to place, or to
 // reserve room for.
 func (sc *Scheduler) pendingLongRunning(ls *leaderState, rd store.Reader) []pendingJob {
--- a/internal/job/scheduler/waits.go
+++ b/internal/job/scheduler/waits.go
@@ -94,9 +94,11 @@
 			reason = cmp.Or(string(wk.Refusal(lw.group)), "has room")
 		}
 		counts[reason]++
-		named = append(named, fmt.Sprintf("%s: %s", wk.ID, reason))
+		if len(named) < maxWaitWorkers {
+			named = append(named, fmt.Sprintf("%s: %s", wk.ID, reason))
+		}
 	}
-	if len(named) <= maxWaitWorkers {
+	if len(views) <= maxWaitWorkers {
 		return strings.Join(named, ", ")
 	}
 	var parts []string
@@ -104,5 +106,5 @@
 		parts = append(parts, fmt.Sprintf("%d: %s", count, reason))
 	}
 	slices.Sort(parts)
-	return strings.Join(named[:maxWaitWorkers], ", ") + "; all: " + strings.Join(parts, ", ")
+	return strings.Join(named, ", ") + "; all: " + strings.Join(parts, ", ")
 }
