fix: answer no call from the state of an earlier term

What callers can see: CONFIG, calls handled as an older configuration asks, and jobs that are not known, for up to 100 ms.

Cause: Scheduler.Ready asked whether the process leads, and whether it was ready in the term that it noticed last. A process that lost its term and leads again before it has noticed was taken for ready, without what another leader had committed meanwhile.

Change: Ready compares the terms. TestNotReadyInTheNextTermOfItsOwn fails on the code before.

--- a/internal/job/scheduler/election_test.go
+++ b/internal/job/scheduler/election_test.go
@@ -65,3 +65,25 @@
 	require.Zero(t, count(after(1000).Add(simOrderDelay-time.Millisecond)))
 	require.Equal(t, 1, count(after(1000).Add(simOrderDelay)))
 }
+
+// leaderOf leads in a term.
+type leaderOf struct {
+	alwaysLeader
+	term uint64
+}
+
+func (lo *leaderOf) LeaderTerm() uint64 { return lo.term }
+
+// TestNotReadyInTheNextTermOfItsOwn guards against answers from an old state, such as an older
+// configuration, by a process that lost its term and leads again before it has noticed:
+// another leader may have committed entries between the two that it has not applied.
+func TestNotReadyInTheNextTermOfItsOwn(t *testing.T) {
+	lo := &leaderOf{term: 5}
+	sc := &Scheduler{Store: store.New(), Leadership: lo, Clock: clock.NewManual(testNow)}
+	sc.setLeader(sc.newLeaderState(5))
+	require.True(t, sc.Ready())
+	lo.term = 7
+	require.False(t, sc.Ready())
+	sc.setLeader(sc.newLeaderState(7))
+	require.True(t, sc.Ready())
+}
--- a/internal/job/scheduler/scheduler.go
+++ b/internal/job/scheduler/scheduler.go
@@ -280,11 +280,12 @@
 }
 
 // Ready reports whether this process leads and has applied everything that
-// earlier leaders committed.
+// earlier leaders committed. It has not if it lost its term and leads in a later one
+// already, of which it has applied no entry yet.
 func (sc *Scheduler) Ready() bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return sc.leader != nil && sc.Leadership.IsLeader()
+	return sc.leader != nil && sc.leadsTerm(sc.leader.term)
 }
 
 // RecordAnnouncement records that a worker announced itself at the time now. It
