fix: take no reason for an end that the protocol does not name

Cause: the reason, as the worker sent it, became part of the name of a counter; the metrics library panics on a name that it cannot read.

Change: a session takes an unknown reason for a run that is over without a reported one. It is no attempt of the task, and the task runs again.

--- a/internal/job/store/change.go
+++ b/internal/job/store/change.go
@@ -141,6 +141,17 @@
 	EndRefused EndReason = "refused"
 )
 
+// ReportedEnd returns the reason for an end that a worker has listed. One that the protocol
+// does not name counts as EndLost: the run is over, and it is no failure of the task.
+func ReportedEnd(reason string) EndReason {
+	switch end := EndReason(reason); end {
+	case EndDone, EndFailed, EndStopped, EndLeaseExpired, EndBroken, EndAlone:
+		return end
+	default:
+		return EndLost
+	}
+}
+
 // RunEnd records the end of one run.
 type RunEnd struct {
 	Task       spec.TaskRef `json:"t"`
--- a/internal/task/session/outstanding_test.go
+++ b/internal/task/session/outstanding_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"greengageweir/internal/common/clock"
+	"greengageweir/internal/job/store"
 	"greengageweir/internal/standin/workermodel"
 
 	weir "greengageweir"
@@ -257,3 +258,16 @@
 	ss.RenewOnce(t.Context())
 	require.True(t, ss.Outstanding.OverAt(key.Task).IsZero())
 }
+
+// TestEndOfUnknownReason guards against a process that ends because of the reason that a
+// worker gives for an end (review/9), and against a failure that is held against the task.
+func TestEndOfUnknownReason(t *testing.T) {
+	for _, reason := range []string{`killed "oom"`, "", "refused", "Done"} {
+		ss, rw := acknowledging(t)
+		key := weir.RunKey{Task: weir.TaskRef{Job: "a"}, Run: 1}
+		rw.ends = []weir.RunEnd{{RunKey: key, Number: 2, Reason: reason}}
+		ss.RenewOnce(t.Context())
+		out := ss.Reconcile(rw.clk.Now(), []PlacedRun{{Key: key, Wanted: true}})
+		require.Equal(t, []store.RunEnd{{Task: key.Task, Run: 1, Reason: store.EndLost}}, out.Ends, reason)
+	}
+}
--- a/internal/task/session/session.go
+++ b/internal/task/session/session.go
@@ -538,7 +538,7 @@
 		if ss.committing {
 			continue
 		}
-		out.Ends = append(out.Ends, store.RunEnd{Task: en.Task, Run: en.Run, Reason: store.EndReason(en.Reason), Checkpoint: en.Checkpoint})
+		out.Ends = append(out.Ends, store.RunEnd{Task: en.Task, Run: en.Run, Reason: store.ReportedEnd(en.Reason), Checkpoint: en.Checkpoint})
 		out.Number = en.Number
 	}
 	current := make(map[weir.RunKey]bool, len(placed))
