fix: refuse job ids with a dot

Cause: dots separate the parts of a task's name. The name of such a task cannot be read again, and the worker's whole list is refused for it.

Change: such a job is refused at the door, as invalid. A job of this kind that is in the log already is not mended.

--- a/internal/job/handler/handler.go
+++ b/internal/job/handler/handler.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"greengageweir/internal/common/errkind"
@@ -251,6 +252,9 @@
 		switch {
 		case id == "":
 			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "no job id"}
+		case strings.ContainsRune(string(id), '.'):
+			// Dots separate the parts of a task's name.
+			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "a job id has no dots"}
 		case known != nil && !mayAccess(rd, qu, known, jb.Team):
 			rep = &jobapi.Reply{Outcome: jobapi.Invalid, Reason: "id is in use"}
 		case known != nil:
--- a/internal/job/handler/handler_test.go
+++ b/internal/job/handler/handler_test.go
@@ -261,6 +261,9 @@
 	refused(jobapi.NoJob, http.MethodGet, "/v1/waves/7", nil)
 	refused(jobapi.Invalid, http.MethodPost, "/v1/waves", jobhttp.Wave{Number: 1})
 	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a"})
+	// A task of such a job has a name that no worker can list again (review/13).
+	one := jobhttp.Job{Steps: []jobhttp.Step{{Count: 1, MilliCPU: 1}}}
+	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a.b", Job: one})
 	huge := []jobhttp.Step{{Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}, {Count: 1 << 62}}
 	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", jobhttp.Submission{Queue: "q", ID: "a", Job: jobhttp.Job{Steps: huge}})
 	refused(jobapi.Invalid, http.MethodPost, "/v1/jobs", map[string]any{"queue": "q", "id": "a", "jobs": 1})
