fix: let accepted jobs of a removed queue go on

Cause: placing left out each job whose queue is not in the configuration in force, which alone says pool, attempts and priority.

Change: the state keeps the queues of active jobs as they were configured last.

TestJobsOfARemovedQueueGoOn fails on the code before.

--- a/internal/job/store/reader.go
+++ b/internal/job/store/reader.go
@@ -16,11 +16,9 @@
 // Packed returns the configuration in force in its packed form.
 func (rd Reader) Packed() catalog.Packed { return rd.st.Packed }
 
-// Queue returns the queue with the given key.
-func (rd Reader) Queue(key string) (catalog.Queue, bool) {
-	qu, ok := rd.st.Queues[key]
-	return qu, ok
-}
+// Queue returns the queue with the given key. One that the configuration in force lacks is
+// returned as it was configured last, as long as jobs of it go on.
+func (rd Reader) Queue(key string) (catalog.Queue, bool) { return rd.st.queue(key) }
 
 // TeamForKey returns the team that has the given API key.
 func (rd Reader) TeamForKey(key auth.Key) (weir.TeamName, bool) {
--- a/internal/job/store/state.go
+++ b/internal/job/store/state.go
@@ -224,6 +224,9 @@
 	// Lapsed holds the runs that were lost when a worker's lease lapsed, by
 	// machine, until the machine's next worker tells whether it had crashed.
 	Lapsed map[string]lapse `json:"lapsed,omitempty"`
+	// Removed holds the queues, by key, that the configuration in force lacks, but that have
+	// jobs which go on, as they were configured last.
+	Removed map[string]catalog.Queue `json:"removed,omitempty"`
 	// Suspects holds the active jobs with a task under which a worker has crashed.
 	Suspects map[spec.JobID]bool                           `json:"-"`
 	Active   map[spec.JobID]bool                           `json:"-"`
@@ -360,6 +363,32 @@
 	}
 }
 
+// queue returns a queue of the configuration, or one that was removed and has jobs that go on.
+func (st *state) queue(key string) (catalog.Queue, bool) {
+	if qu, ok := st.Queues[key]; ok {
+		return qu, true
+	}
+	qu, ok := st.Removed[key]
+	return qu, ok
+}
+
+// keepRemoved keeps the queues of the active jobs that the new configuration lacks.
+func (st *state) keepRemoved(before map[string]catalog.Queue) {
+	removed := map[string]catalog.Queue{}
+	for id := range st.Active {
+		key := st.Jobs[id].Spec.Queue
+		if _, ok := st.Queues[key]; ok {
+			continue
+		}
+		if qu, ok := before[key]; ok {
+			removed[key] = qu
+		} else if qu, ok := st.Removed[key]; ok {
+			removed[key] = qu
+		}
+	}
+	st.Removed = removed
+}
+
 func (st *state) rebuildQueues() {
 	st.Queues = make(map[string]catalog.Queue, len(st.Catalog.Queues))
 	for _, qu := range st.Catalog.Queues {
--- a/internal/job/store/store.go
+++ b/internal/job/store/store.go
@@ -196,8 +196,10 @@
 		invariant.Check(false, "catalogReadable", "version", pk.Version, "err", err)
 		return refused("unreadable")
 	}
+	before := st.Queues
 	st.Packed, st.Catalog = *pk, ct
 	st.rebuildQueues()
+	st.keepRemoved(before)
 	for id := range st.Active {
 		st.failIfExhausted(at, st.Jobs[id])
 	}
@@ -221,7 +223,7 @@
 
 // exhausted reports whether a task has failed as often as the job's queue allows.
 func (st *state) exhausted(js *JobState, tk *Task) bool {
-	qu, ok := st.Queues[js.Spec.Queue]
+	qu, ok := st.queue(js.Spec.Queue)
 	return ok && tk.Failures >= max(qu.MaxAttempts, 1) && !js.Phase.Terminal()
 }
 
