--- a/internal/job/scheduler/runs_test.go
+++ b/internal/job/scheduler/runs_test.go
@@ -22,6 +22,8 @@
 	busySteps = 500
 	// disruptionShare is how many of a thousand steps bring a disruption.
 	disruptionShare = 30
+	// noticeTimeOfTasks is how long a task that lasts has no run before it counts as away.
+	noticeTimeOfTasks = 4500 * time.Millisecond
 	// settleTime is how long a leader leads, and a worker responds, before a task that
 	// waits counts: the rules ask for such calm.
 	settleTime = 3 * time.Second
@@ -43,8 +45,11 @@
 	leader    string
 	// waitingSince is since when a task waits though a sound worker has room for it.
 	waitingSince map[weir.TaskRef]time.Time
-	wave         int64
-	waited       time.Duration
+	// ranAt is when a task was last seen at work.
+	ranAt  map[weir.TaskRef]time.Time
+	late   bool // a late order is carried out
+	wave   int64
+	waited time.Duration
 }
 
 type endOfDisruption struct {
@@ -61,8 +66,30 @@
 	for _, wk := range sim.workers {
 		sim.restartWorker(wk)
 	}
-	return &busySimulation{
-		simulation: sim, rng: rand.New(rand.NewSource(seed)), calmSince: map[string]time.Time{}, waitingSince: map[weir.TaskRef]time.Time{}, wave: 1,
+	bs := &busySimulation{
+		simulation: sim, rng: rand.New(rand.NewSource(seed)), calmSince: map[string]time.Time{}, waitingSince: map[weir.TaskRef]time.Time{},
+		ranAt: map[weir.TaskRef]time.Time{}, wave: 1,
+	}
+	sim.onMaintenance = bs.checkMaintenance
+	return bs
+}
+
+// checkMaintenance fails if maintenance ends a task at work while the other one of its step is
+// away, or both at once. Orders that are carried out late do not count.
+func (bs *busySimulation) checkMaintenance(machine string) {
+	wk, now := bs.machines[machine].worker, bs.clk.Now()
+	wk.ExpireLease(now)
+	ended := map[weir.JobID]int{}
+	for key := range wk.Runs {
+		ended[key.Task.Job]++
+	}
+	for _, task := range longRunningTasks {
+		ranAt, ran := bs.ranAt[task]
+		if bs.late || ended[task.Job] == 0 || !ran {
+			continue
+		}
+		require.False(bs.t, now.Sub(ranAt) >= noticeTimeOfTasks, "AVAIL: maintenance of %s ends a task of job %s while %v is away: %v", machine, task.Job, task, bs.simulation)
+		require.Equal(bs.t, 1, ended[task.Job], "AVAIL: maintenance of %s ends both tasks of job %s: %v", machine, task.Job, bs.simulation)
 	}
 }
 
@@ -138,7 +165,9 @@
 		}
 	}
 	if len(bs.delayed) > 0 && bs.rng.Intn(20) == 0 {
+		bs.late = true
 		bs.deliverDelayed(bs.rng.Intn(len(bs.delayed)))
+		bs.late = false
 	}
 	for _, wk := range bs.workers {
 		if bs.machines["m"+string(wk.ID)].busyTill.IsZero() && !bs.cutOff[wk.ID] {
@@ -153,6 +182,12 @@
 func (bs *busySimulation) check() {
 	now := bs.clk.Now()
 	leader := bs.observe(now)
+	for _, wk := range bs.workers {
+		wk.ExpireLease(now)
+		for key := range wk.Runs {
+			bs.ranAt[key.Task] = now
+		}
+	}
 	for _, task := range longRunningTasks {
 		if leader == nil || !bs.waitsBesideRoom(leader, task, now) {
 			delete(bs.waitingSince, task)
--- a/internal/job/scheduler/simulation_test.go
+++ b/internal/job/scheduler/simulation_test.go
@@ -71,6 +71,8 @@
 	machines map[string]*simMachine
 	// kinds holds the kinds of workers that have one.
 	kinds map[weir.InstanceID]string
+	// onMaintenance is called before maintenance ends the runs on a machine; nil does nothing.
+	onMaintenance func(machine string)
 	// throttled is set while the platform refuses all orders.
 	throttled bool
 	net       []replica.Message
@@ -544,6 +546,9 @@
 	}
 	require.Zero(sim.t, away, "LIMIT: another machine of the wave is down: %v", sim)
 	mc.waves[order.Wave] = true
+	if sim.onMaintenance != nil {
+		sim.onMaintenance(order.Machine)
+	}
 	mc.busyWave = order.Wave
 	mc.busyTill = sim.clk.Now().Add(2 * time.Second)
 	clear(mc.worker.Runs)
