fix: leave waiting tasks a worker that has not answered yet

Cause: a new leader looks for the machines that waiting tasks need in its first round, when no worker has answered it. None counted as able to take them, and the maintenance of the only one was committed in that round and ordered 15 ms later.

Change: workers that do not respond come last among those that a waiting task may need. Their machines are left alone until they answer or their leases have lapsed.

TestNewLeaderLeavesWaitingTasksTheirWorker fails on the code before. The new leader of the tests of waiting tasks leads in its own term now: before, it ordered no machines.

--- a/internal/job/scheduler/needed.go
+++ b/internal/job/scheduler/needed.go
@@ -15,33 +15,43 @@
 // neededMachines returns the machines that waiting long-running tasks are placed on next.
 // Maintenance and moves leave them alone until then: a task that lasts must not wait while
 // a worker has room for it. Machines of the due set, whose maintenance is due, are needed
-// only for tasks that no others take, and machines that get no new tasks, because their
-// maintenance is about to start or they are about to move, only for what is left then.
+// only for tasks that no others take; machines that get no new tasks, because their
+// maintenance is about to start or they are about to move, for what is left then; and those
+// whose worker does not respond, such as to a new leader yet, for the rest.
 func (sc *Scheduler) neededMachines(ctx context.Context, ls *leaderState, rd store.Reader, due map[string]bool, now time.Time) map[string]bool {
 	jobs := slices.DeleteFunc(sc.pendingLongRunning(ls, rd), func(pj pendingJob) bool { return !sc.longRunningWaits(ls, pj) })
 	if len(jobs) == 0 {
 		return nil
 	}
 	usable := sc.placeableWorkers(ls, rd, now, jobs)
-	withheld := sc.workersIn(ls, rd, now, jobs, unavailability.endsForNeed)
-	groups := sc.longRunningGroups(ctx, ls, rd, jobs, maxFreeByPool(slices.Concat(usable, withheld)), now)
 	for ix := range usable {
 		wk, _ := rd.Worker(usable[ix].ID)
 		usable[ix].Suspect = usable[ix].Suspect || due[wk.Machine]
 	}
-	placed := sc.placeInTheEnd(rd, groups, usable)
-	if left := placement.Without(groups, placed); len(left) > 0 && len(withheld) > 0 {
-		for ix := range withheld {
-			withheld[ix].Suspect = true
-		}
-		all := append(placement.Reserve(usable, groups, placed), withheld...)
-		placed = append(placed, sc.placeInTheEnd(rd, left, all)...)
+	stages := [][]workerView{
+		usable,
+		sc.workersIn(ls, rd, now, jobs, unavailability.endsForNeed),
+		sc.workersIn(ls, rd, now, jobs, func(un unavailability) bool { return un == workerSilent }),
 	}
 	needed := map[string]bool{}
-	for _, pl := range placed {
-		if wk, ok := rd.Worker(pl.Worker); ok && wk.Machine != "" {
-			needed[wk.Machine] = true
+	var workers []workerView
+	left := sc.longRunningGroups(ctx, ls, rd, jobs, maxFreeByPool(slices.Concat(stages...)), now)
+	for stage, more := range stages {
+		if len(left) == 0 {
+			break
+		}
+		for ix := range more {
+			more[ix].Suspect = more[ix].Suspect || stage > 0
+		}
+		workers = append(workers, more...)
+		placed := sc.placeInTheEnd(rd, left, workers)
+		for _, pl := range placed {
+			if wk, ok := rd.Worker(pl.Worker); ok && wk.Machine != "" {
+				needed[wk.Machine] = true
+			}
 		}
+		workers = placement.Reserve(workers, left, placed)
+		left = placement.Without(left, placed)
 	}
 	return needed
 }
--- a/internal/job/scheduler/waiting_tasks_test.go
+++ b/internal/job/scheduler/waiting_tasks_test.go
@@ -25,7 +25,9 @@
 
 // changeLeader makes a new leader of the next term, which knows the replicated state alone.
 func (bw *blockedWave) changeLeader() {
-	bw.sp.ls = bw.sp.sc.newLeaderState(bw.sp.ls.term + 1)
+	term := bw.sp.ls.term + 1
+	bw.sp.sc.Leadership = &leaderOf{term: term}
+	bw.sp.ls = bw.sp.sc.newLeaderState(term)
 	bw.sp.sc.setLeader(bw.sp.ls)
 }
 
@@ -54,6 +56,25 @@
 	}
 }
 
+// TestNewLeaderLeavesWaitingTasksTheirWorker guards against maintenance that a new leader
+// orders, in its first round, for the only worker of tasks that wait, because that worker has
+// not answered it yet.
+func TestNewLeaderLeavesWaitingTasksTheirWorker(t *testing.T) {
+	four := spec.Resources{MilliCPU: 4000}
+	bw := newBlockedWave(t, nil, store.Worker{ID: "w0", Kind: "k", Capacity: four}, store.Worker{ID: "w1", Kind: "x", Capacity: four})
+	bw.start("a", spec.Step{Count: 2, Resources: spec.Resources{MilliCPU: 1000}, LongRunning: true, MaxUnavailable: 1, Label: "k"})
+	bw.begin()
+	for index := range 2 {
+		bw.sp.apply(store.Change{End: &store.RunEnd{Task: weir.TaskRef{Job: "a", Index: index}, Run: 1, Reason: store.EndLeaseExpired}})
+	}
+	bw.lapse("w0")
+	bw.changeLeader()
+	bw.pass(restartTime, func() bool {
+		require.False(t, bw.over(), "the maintenance takes the only worker")
+		return bw.atWork("a") == 2
+	})
+}
+
 // throttlingPlatform refuses orders while it is busy.
 type throttlingPlatform struct {
 	*maintenancePlatform
